--- /dev/null
+++ b/crates/pulleywood-core/src/config.rs
@@ -0,0 +1,183 @@
+//! What the decisions need to know of the settings and the operators' policy.
+
+use pulleywood_wire::cloud::Flavor;
+use pulleywood_wire::job::{JobSpec, Shape};
+use pulleywood_wire::record::{Slots, chunk_tasks};
+use pulleywood_wire::settings::Settings;
+use pulleywood_wire::time::{secs, surely_past, surely_within};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::room::{Room, within};
+
+/// One team's bounds; amounts of 0 mean none.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Team {
+    /// Guaranteed slots.
+    pub guarantee: Slots,
+    /// Most slots.
+    pub limit: Slots,
+    /// Turns relative to other teams.
+    pub weight: f64,
+}
+
+impl Team {
+    /// Whether any limit applies.
+    pub fn limited(&self) -> bool {
+        self.limit.cpus.0 > 0.0 || self.limit.gpus.0 > 0.0
+    }
+
+    /// Whether this usage lies within the guarantee.
+    pub fn guarantees(&self, used: Slots) -> bool {
+        let any = self.guarantee.cpus.0 > 0.0 || self.guarantee.gpus.0 > 0.0;
+        any && within(used, Slots::default(), self.guarantee, self.guarantee)
+    }
+}
+
+/// Operators' levers; each has a default and can be set by the policy script.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Policy {
+    /// Turns of each team; 1 if absent.
+    pub weights: BTreeMap<String, f64>,
+    /// Length of a part's lease.
+    pub part_lease_s: f64,
+    /// Room kept free, as a share of what is in use.
+    pub cushion: f64,
+    /// How long a machine may idle beyond its paid minimum.
+    pub idle_s: f64,
+    /// Seconds of delay that running spot work on an ordinary machine is worth.
+    pub spot_bias_s: f64,
+    /// Errors of different jobs after which a machine is replaced.
+    pub sick_jobs: u32,
+    /// Share by which a job's machines may be slower than the fastest seen
+    /// before they are replaced.
+    pub slow_factor: f64,
+    /// The most machines that silence alone gets released in a minute.
+    pub silent_releases: u32,
+}
+
+impl Policy {
+    /// Defaults that follow from the platform's settings.
+    pub fn defaults(settings: &Settings) -> Self {
+        let workers = &settings.cluster.workers;
+        Self {
+            weights: BTreeMap::new(),
+            part_lease_s: (workers.lease_s * 0.5).clamp(3.0, 10.0),
+            cushion: 0.1,
+            idle_s: 60.0,
+            spot_bias_s: 30.0,
+            sick_jobs: 2,
+            slow_factor: 2.0,
+            silent_releases: 2,
+        }
+    }
+}
+
+/// All that the decisions need to know.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Between reports.
+    pub report: Duration,
+    /// A worker's lease.
+    pub lease: Duration,
+    /// Time for a cancellation.
+    pub cancel: Duration,
+    /// Changes a transaction.
+    pub txn_ops: usize,
+    /// Tasks that one record of done tasks covers.
+    pub chunk: u32,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Teams.
+    pub teams: BTreeMap<String, Team>,
+    /// Machine types, once known.
+    pub flavors: BTreeMap<String, Flavor>,
+    /// The operators' levers.
+    pub policy: Policy,
+}
+
+impl Config {
+    /// From checked settings and policy.
+    pub fn new(settings: &Settings, policy: Policy) -> Self {
+        let cluster = &settings.cluster;
+        let slots = |cpus: f64, gpus: f64| Slots {
+            cpus: pulleywood_wire::cbor::Amount(cpus),
+            gpus: pulleywood_wire::cbor::Amount(gpus),
+        };
+        let teams = cluster
+            .teams
+            .iter()
+            .map(|t| {
+                let team = Team {
+                    guarantee: slots(t.cpus, t.gpus),
+                    limit: slots(t.cpus_max, t.gpus_max),
+                    weight: policy.weights.get(&t.name).copied().unwrap_or(1.0),
+                };
+                (t.name.clone(), team)
+            })
+            .collect();
+        Self {
+            report: secs(cluster.workers.report_s),
+            lease: secs(cluster.workers.lease_s),
+            cancel: secs(cluster.workers.cancel_s),
+            txn_ops: cluster.state.txn_ops as usize,
+            chunk: chunk_tasks(cluster.state.value_kb),
+            zones: cluster.zones.clone(),
+            teams,
+            flavors: BTreeMap::new(),
+            policy,
+        }
+    }
+
+    /// After this long without an answered report a worker has surely killed
+    /// its tasks.
+    pub fn surely_lapsed(&self) -> Duration {
+        surely_past(self.lease)
+    }
+
+    /// How long after its last contact with the state service an owner may
+    /// still answer workers: a cancellation told elsewhere right after that
+    /// contact is obeyed in time, since the worker lapses within its lease.
+    pub fn answer_span(&self) -> Duration {
+        surely_within(self.cancel.saturating_sub(self.lease)).saturating_sub(Duration::from_secs(1))
+    }
+
+    /// How long after a part changed hands a worker that reported to nobody
+    /// else may still run tasks, if the old owner has not confirmed its end.
+    pub fn silent_span(&self) -> Duration {
+        surely_past(self.answer_span() + self.lease)
+    }
+
+    /// Whether this type of machine may run the job's tasks.
+    pub fn flavor_fits(&self, spec: &JobSpec, flavor: &Flavor) -> bool {
+        spec.types
+            .as_ref()
+            .is_none_or(|types| types.contains(&flavor.label))
+            && spec
+                .zone
+                .as_ref()
+                .is_none_or(|zone| flavor.zones.contains(zone))
+            && Room::of_flavor(flavor).fits(&Room::of_task(spec))
+    }
+
+    /// Why a job can never run, if so.
+    pub fn never_runs(&self, spec: &JobSpec) -> Option<&'static str> {
+        let Some(team) = self.teams.get(&spec.team) else {
+            return Some("unknown team");
+        };
+        if !self.flavors.values().any(|f| self.flavor_fits(spec, f)) {
+            return Some("a task fits no allowed machine type");
+        }
+        let tasks = match spec.shape {
+            Shape::Array => 1.0,
+            Shape::Service => f64::from(spec.tasks),
+        };
+        let need = Room {
+            cpus: spec.cpus.0 * tasks,
+            gpus: spec.gpus.0 * tasks,
+            memory_gb: 0.0,
+        };
+        let fits = within(Slots::default(), need.slots(), team.limit, team.limit);
+        (!fits).then_some("needs more than the team's limit")
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/digest.rs
@@ -0,0 +1,173 @@
+//! What a part's owner tells the other controllers.
+
+use crate::config::Config;
+use crate::ledger::{Job, PartLedger, SlotState};
+use crate::room::{Room, add};
+use pulleywood_wire::Moment;
+use pulleywood_wire::job::Shape;
+use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
+use pulleywood_wire::record::Slots;
+use std::collections::BTreeMap;
+
+impl PartLedger {
+    /// The part's digest.
+    pub fn digest(&self, now: Moment, config: &Config) -> PartDigest {
+        let used = self.used(config);
+        let mut wanted: BTreeMap<String, Slots> = BTreeMap::new();
+        let mut demand: Vec<Demand> = Vec::new();
+        for job in self.jobs.values().filter(|j| !j.waiting.is_empty()) {
+            let Some(team) = config.teams.get(&job.spec.team) else {
+                continue;
+            };
+            let count = job.waiting.len();
+            if team.limited() {
+                let one = Room::of_task(&job.spec).slots();
+                let sum = wanted.entry(job.spec.team.clone()).or_default();
+                for _ in 0..count.min(1000) {
+                    add(sum, one);
+                }
+            }
+            if now < job.held_until {
+                continue;
+            }
+            self.add_demand(&mut demand, job);
+        }
+        let running = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.active.is_empty())
+            .map(|(id, _)| (id.clone(), self.running(id)))
+            .filter(|(_, n)| *n > 0)
+            .collect();
+        PartDigest {
+            part: self.part,
+            rebuilding: self.rebuilding(),
+            demand,
+            machines: self.machine_digests(now, config),
+            used,
+            wanted,
+            running,
+        }
+    }
+
+    fn add_demand(&self, demand: &mut Vec<Demand>, job: &Job) {
+        let spec = &job.spec;
+        let zones = self.zones_left(job);
+        let work_s = match spec.shape {
+            Shape::Array => spec.estimate_s.0,
+            Shape::Service => 0.0,
+        };
+        for (zones, count) in zones {
+            let item = Demand {
+                cpus: spec.cpus.0,
+                gpus: spec.gpus.0,
+                memory_gb: spec.memory_gb.0,
+                types: spec.types.clone(),
+                zones,
+                spot: spec.spot,
+                rank: spec.rank,
+                work_s,
+                count,
+            };
+            let same = demand.iter_mut().find(|d| {
+                (d.cpus, d.gpus, d.memory_gb) == (item.cpus, item.gpus, item.memory_gb)
+                    && d.types == item.types
+                    && d.zones == item.zones
+                    && (d.spot, d.rank) == (item.spot, item.rank)
+            });
+            match same {
+                Some(d) => {
+                    let all = f64::from(d.count + count);
+                    d.work_s = (d.work_s * f64::from(d.count) + work_s * f64::from(count)) / all;
+                    d.count += count;
+                }
+                None => demand.push(item),
+            }
+        }
+    }
+
+    /// Zones that a job's waiting tasks may still go to, with counts.
+    fn zones_left(&self, job: &Job) -> Vec<(Vec<String>, u32)> {
+        let spec = &job.spec;
+        let waiting = job.waiting.len();
+        if let Some(zone) = &spec.zone {
+            return vec![(vec![zone.clone()], waiting)];
+        }
+        if !spec.one_zone && !spec.spread {
+            return vec![(Vec::new(), waiting)];
+        }
+        let mut at: BTreeMap<&str, u32> = BTreeMap::new();
+        for id in job.active.values() {
+            if let Some(m) = self.machines.get(id) {
+                *at.entry(&m.record.zone).or_insert(0) += 1;
+            }
+        }
+        if spec.one_zone {
+            return vec![(at.keys().map(|z| (*z).to_owned()).collect(), waiting)];
+        }
+        let mut left = waiting;
+        let mut zones = Vec::new();
+        let mut free: Vec<(&str, u32)> = at.into_iter().map(|(z, n)| (z, spec.zone_limit().saturating_sub(n))).collect();
+        for flavor in self.flavor_zones() {
+            if !free.iter().any(|(z, _)| *z == flavor) {
+                free.push((flavor, spec.zone_limit()));
+            }
+        }
+        free.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+        for (zone, n) in free {
+            let n = n.min(left);
+            if n > 0 {
+                zones.push((vec![zone.to_owned()], n));
+                left -= n;
+            }
+        }
+        if zones.is_empty() {
+            zones.push((Vec::new(), waiting));
+        }
+        zones
+    }
+
+    fn flavor_zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.iter().map(String::as_str)
+    }
+
+    fn machine_digests(&self, now: Moment, config: &Config) -> Vec<MachineDigest> {
+        self.machines
+            .iter()
+            .map(|(id, m)| {
+                let whole = config
+                    .flavors
+                    .get(&m.record.flavor)
+                    .map(Room::of_flavor)
+                    .unwrap_or_default();
+                let usable = m.confirmed && !m.leaving && !m.unfit && m.taken_at.is_none();
+                let free = if usable && !m.has_foreign() {
+                    m.free(whole)
+                } else {
+                    Room::default()
+                };
+                MachineDigest {
+                    machine: id.clone(),
+                    cpus: free.cpus,
+                    gpus: free.gpus,
+                    memory_gb: free.memory_gb,
+                    idle_s: match m.idle_since {
+                        Some(at) if m.confirmed => now.since(at).as_secs_f64(),
+                        _ => -1.0,
+                    },
+                    silent_s: m.answered.map_or(-1.0, |at| now.since(at).as_secs_f64()),
+                    unfit: m.unfit || m.taken_at.is_some(),
+                }
+            })
+            .collect()
+    }
+
+    /// Attempts that were sent or run now, for logs.
+    pub fn load(&self) -> (usize, usize) {
+        let slots = || self.machines.values().flat_map(|m| &m.slots);
+        let running = slots()
+            .filter(|s| s.state == SlotState::Running)
+            .count();
+        (slots().filter(|s| s.holds_room()).count(), running)
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -0,0 +1,409 @@
+//! The coordinator's fleet decisions: idle machines moved between parts,
+//! machines rented and given back.
+
+use crate::config::Config;
+use crate::room::Room;
+use pulleywood_wire::cloud::{Flavor, Rental, RentalStatus};
+use pulleywood_wire::job::Rank;
+use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
+use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::{MachineId, Moment, PartId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// One kind of machine: type, zone, spot.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Kind {
+    /// Machine type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+}
+
+/// What the coordinator does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// An idle machine goes to another part.
+    Move(MachineId, PartId, PartId),
+    /// A machine is given back once its part let it go.
+    Retire(MachineId, PartId),
+    /// Machines are rented for a part.
+    Hire(Kind, u32, PartId),
+    /// Machines are released that nobody commands, or that are surely dead.
+    Release(Vec<MachineId>, &'static str),
+}
+
+/// What the coordinator remembers between rounds; all of it can be lost.
+#[derive(Debug, Default)]
+pub struct Memory {
+    refused: BTreeMap<Kind, (u32, Moment)>,
+    /// When a machine was first known here, and first missed in the list.
+    first_seen: BTreeMap<MachineId, Moment>,
+    missed_since: BTreeMap<MachineId, Moment>,
+    silent_released: Vec<Moment>,
+    moved: BTreeMap<MachineId, Moment>,
+}
+
+impl Memory {
+    /// A rental was refused: back off by type, zone and kind.
+    pub fn refused(&mut self, kind: &Kind, now: Moment) {
+        let (times, until) = self
+            .refused
+            .get(kind)
+            .copied()
+            .unwrap_or((0, Moment::default()));
+        let _ = until;
+        let wait = Duration::from_secs(5 << times.min(3));
+        self.refused.insert(kind.clone(), (times + 1, now + wait));
+    }
+
+    /// A rental was filled, at least in part.
+    pub fn filled(&mut self, kind: &Kind) {
+        self.refused.remove(kind);
+    }
+
+    fn open(&self, kind: &Kind, now: Moment) -> bool {
+        self.refused.get(kind).is_none_or(|(_, until)| now >= *until)
+    }
+}
+
+/// What the coordinator sees.
+#[derive(Debug)]
+pub struct Seen<'a> {
+    /// Time.
+    pub now: Moment,
+    /// All machines' records.
+    pub records: &'a BTreeMap<MachineId, MachineRecord>,
+    /// Fresh digests of owned parts.
+    pub parts: &'a BTreeMap<PartId, PartDigest>,
+    /// The newest machine list, if one came lately.
+    pub list: Option<&'a [Rental]>,
+    /// How long ago that list was asked for.
+    pub list_age: Duration,
+}
+
+/// A machine's room while demand is spread over it.
+struct Bin {
+    machine: Option<MachineId>,
+    part: PartId,
+    kind: Kind,
+    free: Room,
+    whole: Room,
+    taken: u32,
+}
+
+fn allows(demand: &Demand, kind: &Kind) -> bool {
+    (demand.spot || !kind.spot)
+        && (demand.zones.is_empty() || demand.zones.contains(&kind.zone))
+        && demand
+            .types
+            .as_ref()
+            .is_none_or(|t| t.contains(&kind.flavor))
+}
+
+fn need(demand: &Demand) -> Room {
+    Room {
+        cpus: demand.cpus,
+        gpus: demand.gpus,
+        memory_gb: demand.memory_gb,
+    }
+}
+
+/// One round of decisions.
+pub fn decide(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
+    let mut actions = release_dead(config, memory, seen);
+    let now = seen.now;
+    memory
+        .first_seen
+        .retain(|id, _| seen.records.contains_key(id));
+    for id in seen.records.keys() {
+        memory.first_seen.entry(id.clone()).or_insert(now);
+    }
+    memory.moved.retain(|_, at| now.since(*at) < Duration::from_secs(10));
+
+    let digests: BTreeMap<&MachineId, (&MachineDigest, PartId)> = seen
+        .parts
+        .values()
+        .flat_map(|p| p.machines.iter().map(move |m| (&m.machine, (m, p.part))))
+        .collect();
+    let mut bins = Vec::new();
+    for (id, record) in seen.records {
+        let Some(flavor) = config.flavors.get(&record.flavor) else {
+            continue;
+        };
+        if record.retiring {
+            continue;
+        }
+        let whole = Room::of_flavor(flavor);
+        let digest = digests.get(id);
+        if digest.is_some_and(|(m, _)| m.unfit) {
+            continue;
+        }
+        let age = memory.first_seen.get(id).map_or(0.0, |at| now.since(*at).as_secs_f64());
+        let free = match digest {
+            Some((m, _)) if m.silent_s >= 0.0 => {
+                // A machine that fell silent promises nothing.
+                if m.silent_s > config.report.as_secs_f64() * 4.0 + 1.0 {
+                    continue;
+                }
+                Room {
+                    cpus: m.cpus,
+                    gpus: m.gpus,
+                    memory_gb: m.memory_gb,
+                }
+            }
+            _ if age > flavor.boot_s.0 * 2.5 + 10.0 => continue,
+            _ => whole,
+        };
+        bins.push(Bin {
+            machine: Some(id.clone()),
+            part: record.part,
+            kind: Kind {
+                flavor: record.flavor.clone(),
+                zone: record.zone.clone(),
+                spot: record.spot,
+            },
+            free,
+            whole,
+            taken: 0,
+        });
+    }
+
+    let mut demands: Vec<(PartId, &Demand)> = seen
+        .parts
+        .values()
+        .flat_map(|p| p.demand.iter().map(move |d| (p.part, d)))
+        .collect();
+    demands.sort_by(|a, b| b.1.rank.cmp(&a.1.rank));
+
+    let mut hires: BTreeMap<(Kind, PartId), u32> = BTreeMap::new();
+    for (part, demand) in demands {
+        let need = need(demand);
+        let mut left = demand.count;
+        // Room of the part itself, on machines up or on the way.
+        left = fill(&mut bins, left, demand, &need, |b| b.part == part);
+        // Idle machines of other parts are moved.
+        while left > 0 {
+            let idle = bins.iter().position(|b| {
+                b.part != part
+                    && b.taken == 0
+                    && b.machine.as_ref().is_some_and(|m| {
+                        !memory.moved.contains_key(m)
+                            && digests.get(m).is_none_or(|(d, _)| d.idle_s >= 1.0)
+                    })
+                    && allows(demand, &b.kind)
+                    && b.free.fits(&need)
+            });
+            let Some(at) = idle else { break };
+            let bin = &mut bins[at];
+            if let Some(machine) = bin.machine.clone() {
+                memory.moved.insert(machine.clone(), now);
+                actions.push(Action::Move(machine, bin.part, part));
+            }
+            bin.part = part;
+            left = fill(&mut bins, left, demand, &need, |b| b.part == part);
+        }
+        // The rest is rented.
+        let mut guard = 0;
+        while left > 0 && guard < 200 {
+            guard += 1;
+            let Some((kind, flavor)) = cheapest(config, memory, demand, &need, now, &hires) else {
+                break;
+            };
+            let whole = Room::of_flavor(flavor);
+            *hires.entry((kind.clone(), part)).or_insert(0) += 1;
+            bins.push(Bin {
+                machine: None,
+                part,
+                kind,
+                free: whole,
+                whole,
+                taken: 0,
+            });
+            left = fill(&mut bins, left, demand, &need, |b| b.part == part);
+        }
+    }
+    for ((kind, part), count) in hires {
+        actions.push(Action::Hire(kind, count.min(50), part));
+    }
+    actions.extend(retire(config, &bins, &digests));
+    actions
+}
+
+/// Fills bins with a demand, fullest first; what is left over.
+fn fill(
+    bins: &mut [Bin],
+    mut left: u32,
+    demand: &Demand,
+    need: &Room,
+    of: impl Fn(&Bin) -> bool,
+) -> u32 {
+    for bin in bins.iter_mut() {
+        if left == 0 {
+            break;
+        }
+        if !of(bin) || !allows(demand, &bin.kind) {
+            continue;
+        }
+        let n = bin.free.times(need).min(left);
+        for _ in 0..n {
+            bin.free -= *need;
+        }
+        bin.taken += n;
+        left -= n;
+    }
+    left
+}
+
+/// The kind that costs least for a demand and is not backed off.
+fn cheapest<'a>(
+    config: &'a Config,
+    memory: &Memory,
+    demand: &Demand,
+    need: &Room,
+    now: Moment,
+    hires: &BTreeMap<(Kind, PartId), u32>,
+) -> Option<(Kind, &'a Flavor)> {
+    let mut best: Option<(f64, Kind, &Flavor)> = None;
+    for flavor in config.flavors.values() {
+        let whole = Room::of_flavor(flavor);
+        let tasks = whole.times(need).min(demand.count.max(1));
+        if tasks == 0 {
+            continue;
+        }
+        for zone in &flavor.zones {
+            for spot in [true, false] {
+                let kind = Kind {
+                    flavor: flavor.label.clone(),
+                    zone: zone.clone(),
+                    spot,
+                };
+                if !allows(demand, &kind) || !memory.open(&kind, now) {
+                    continue;
+                }
+                let price = if spot { flavor.spot_price.0 } else { flavor.price.0 };
+                // Equal prices: the zone with fewer rentals of this round.
+                let planned: u32 = hires
+                    .iter()
+                    .filter(|((k, _), _)| *k == kind)
+                    .map(|(_, n)| n)
+                    .sum();
+                let cost = price / f64::from(tasks) * (1.0 + 0.001 * f64::from(planned));
+                if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
+                    best = Some((cost, kind, flavor));
+                }
+            }
+        }
+    }
+    best.map(|(_, kind, flavor)| (kind, flavor))
+}
+
+/// Idle machines beyond the cushion, and unfit ones, are given back.
+fn retire(
+    config: &Config,
+    bins: &[Bin],
+    digests: &BTreeMap<&MachineId, (&MachineDigest, PartId)>,
+) -> Vec<Action> {
+    let mut actions = Vec::new();
+    for (id, (digest, part)) in digests {
+        if digest.unfit && digest.idle_s >= 0.0 {
+            actions.push(Action::Retire((*id).clone(), *part));
+        }
+    }
+    for spot in [false, true] {
+        let in_use: f64 = bins
+            .iter()
+            .filter(|b| b.kind.spot == spot)
+            .map(|b| 1.0 - b.free.share_of(&b.whole))
+            .sum();
+        let mut idle: Vec<(f64, &MachineId, PartId)> = bins
+            .iter()
+            .filter(|b| b.kind.spot == spot && b.taken == 0)
+            .filter_map(|b| {
+                let id = b.machine.as_ref()?;
+                let (digest, part) = digests.get(id)?;
+                (digest.idle_s >= config.policy.idle_s).then_some((digest.idle_s, id, *part))
+            })
+            .collect();
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let keep = (in_use * config.policy.cushion).ceil() as usize;
+        for (_, id, part) in idle.into_iter().skip(keep) {
+            actions.push(Action::Retire(id.clone(), part));
+        }
+    }
+    actions
+}
+
+/// Machines the list shows as failed, never up, or gone. One list alone, which
+/// may be stale, never decides over a machine that may still work.
+fn release_dead(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
+    let now = seen.now;
+    let mut actions = Vec::new();
+    let mut release = |ids: Vec<MachineId>, why| {
+        if !ids.is_empty() {
+            actions.push(Action::Release(ids, why));
+        }
+    };
+    let retiring = seen
+        .records
+        .iter()
+        .filter(|(_, r)| r.retiring)
+        .map(|(id, _)| id.clone())
+        .collect();
+    release(retiring, "retired by its part");
+    let Some(list) = seen.list else {
+        return actions;
+    };
+    let silent: BTreeSet<&MachineId> = seen
+        .parts
+        .values()
+        .flat_map(|p| &p.machines)
+        .filter(|m| m.silent_s < 0.0 || m.silent_s > config.lease.as_secs_f64())
+        .map(|m| &m.machine)
+        .collect();
+    let mut failed = Vec::new();
+    let mut never_up = Vec::new();
+    for rental in list {
+        let boot = config
+            .flavors
+            .get(&rental.flavor)
+            .map_or(60.0, |f| f.boot_s.0);
+        match rental.status {
+            RentalStatus::Failed => failed.push(rental.machine.clone()),
+            RentalStatus::Starting
+                if rental.age_s.0 > boot * 4.0 + 30.0
+                    && (silent.contains(&rental.machine)
+                        || !seen.records.contains_key(&rental.machine)) =>
+            {
+                never_up.push(rental.machine.clone());
+            }
+            _ => {}
+        }
+    }
+    release(failed, "failed");
+    release(never_up, "never came up");
+    // Recorded machines that the lists have lacked for long, and that are
+    // silent: the cloud took them.
+    let listed: BTreeSet<&MachineId> = list.iter().map(|r| &r.machine).collect();
+    memory
+        .missed_since
+        .retain(|id, _| seen.records.contains_key(id) && !listed.contains(id));
+    let mut gone = Vec::new();
+    for id in seen.records.keys().filter(|id| !listed.contains(id)) {
+        let since = *memory.missed_since.entry(id.clone()).or_insert(now);
+        let known = memory.first_seen.get(id).is_some_and(|at| {
+            now.since(*at) > Duration::from_secs(30)
+        });
+        if known && silent.contains(id) && now.since(since) > Duration::from_secs(20) {
+            gone.push(id.clone());
+        }
+    }
+    release(gone, "no longer listed");
+    memory
+        .silent_released
+        .retain(|at| now.since(*at) < Duration::from_secs(60));
+    let _ = (Rank::Idle, seen.list_age);
+    actions
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/grants.rs
@@ -0,0 +1,151 @@
+//! Teams' leased grants over parts: the sum never passes the limit, and a
+//! part grows only by what is free after another's shrink was committed.
+
+use crate::config::Config;
+use pulleywood_wire::PartId;
+use pulleywood_wire::record::{GrantRecord, Slots};
+use std::collections::BTreeMap;
+
+/// The first grants: every limit divided evenly.
+pub fn first(config: &Config, parts: u32) -> GrantRecord {
+    let share = |limit: f64| limit / f64::from(parts.max(1));
+    let teams = config
+        .teams
+        .iter()
+        .filter(|(_, t)| t.limited())
+        .map(|(name, t)| {
+            let slots = Slots {
+                cpus: pulleywood_wire::cbor::Amount(share(t.limit.cpus.0)),
+                gpus: pulleywood_wire::cbor::Amount(share(t.limit.gpus.0)),
+            };
+            (name.clone(), slots)
+        })
+        .collect();
+    GrantRecord { epoch: 1, teams }
+}
+
+/// What one part uses and wants of one team.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Need {
+    /// In use, unknown slots counted.
+    pub used: Slots,
+    /// Wanted by waiting tasks on top of that.
+    pub wanted: Slots,
+}
+
+/// One dimension of a team's slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Dim {
+    Cpus,
+    Gpus,
+}
+
+fn get(s: Slots, d: Dim) -> f64 {
+    match d {
+        Dim::Cpus => s.cpus.0,
+        Dim::Gpus => s.gpus.0,
+    }
+}
+
+fn set(s: &mut Slots, d: Dim, v: f64) {
+    match d {
+        Dim::Cpus => s.cpus.0 = v,
+        Dim::Gpus => s.gpus.0 = v,
+    }
+}
+
+/// What the coordinator does next about grants.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Write this part's grown grant, conditioned on all parts' records.
+    Grow(PartId, GrantRecord),
+    /// Ask this part's owner to give up slots down to these.
+    Shrink(PartId, BTreeMap<String, Slots>),
+}
+
+/// Balances grants by need. Every known part's record must be passed, since
+/// slots of a part left out would be granted twice.
+pub fn balance(
+    config: &Config,
+    records: &BTreeMap<PartId, GrantRecord>,
+    needs: &BTreeMap<PartId, BTreeMap<String, Need>>,
+) -> Option<Step> {
+    let mut shrink: Option<(PartId, BTreeMap<String, Slots>)> = None;
+    for (name, team) in config.teams.iter().filter(|(_, t)| t.limited()) {
+        for dim in [Dim::Cpus, Dim::Gpus] {
+            let limit = get(team.limit, dim);
+            if limit <= 0.0 {
+                continue;
+            }
+            let granted = |p: &PartId| {
+                records
+                    .get(p)
+                    .and_then(|r| r.teams.get(name))
+                    .map_or(0.0, |s| get(*s, dim))
+            };
+            let need = |p: &PartId| needs.get(p).and_then(|n| n.get(name)).copied();
+            let lack = |p: &PartId| {
+                need(p).map_or(0.0, |n| {
+                    (get(n.used, dim) + get(n.wanted, dim) - granted(p)).max(0.0)
+                })
+            };
+            let Some(poor) = records
+                .keys()
+                .filter(|p| lack(p) > 1e-6)
+                .max_by(|a, b| lack(a).total_cmp(&lack(b)))
+            else {
+                continue;
+            };
+            let sum: f64 = records.keys().map(granted).sum();
+            let spare = limit - sum;
+            if spare > 1e-6 {
+                let mut record = records[poor].clone();
+                let slots = record.teams.entry(name.clone()).or_default();
+                set(slots, dim, granted(poor) + spare.min(lack(poor)));
+                record.epoch += 1;
+                return Some(Step::Grow(*poor, record));
+            }
+            // The part with the most unused slots gives up what is lacking,
+            // but keeps what it uses and wants.
+            let unused = |p: &PartId| {
+                need(p).map_or(0.0, |n| {
+                    (granted(p) - get(n.used, dim) - get(n.wanted, dim)).max(0.0)
+                })
+            };
+            if let Some(rich) = records
+                .keys()
+                .filter(|p| *p != poor && unused(p) > 1e-6)
+                .max_by(|a, b| unused(a).total_cmp(&unused(b)))
+            {
+                let left = granted(rich) - unused(rich).min(lack(poor));
+                let (part, teams) = shrink.get_or_insert((*rich, BTreeMap::new()));
+                if part == rich {
+                    let base = records[rich].teams.get(name).copied().unwrap_or_default();
+                    set(teams.entry(name.clone()).or_insert(base), dim, left);
+                }
+            }
+        }
+    }
+    shrink.map(|(p, t)| Step::Shrink(p, t))
+}
+
+/// The grant after a shrink: never below what is in use, never larger.
+pub fn shrunk(
+    record: &GrantRecord,
+    to: &BTreeMap<String, Slots>,
+    used: &BTreeMap<String, Slots>,
+) -> Option<GrantRecord> {
+    let mut next = record.clone();
+    for (name, want) in to {
+        let Some(slots) = next.teams.get_mut(name) else {
+            continue;
+        };
+        let used = used.get(name).copied().unwrap_or_default();
+        slots.cpus.0 = slots.cpus.0.min(want.cpus.0.max(used.cpus.0));
+        slots.gpus.0 = slots.gpus.0.min(want.gpus.0.max(used.gpus.0));
+    }
+    (next.teams != record.teams).then(|| {
+        next.epoch += 1;
+        next
+    })
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -0,0 +1,788 @@
+//! What a part's owner knows: jobs from the state service, and what runs
+//! where, rebuilt from workers' reports.
+//!
+//! The rules kept here:
+//! - launches only in answers to reports ([`PartLedger::answer`]);
+//! - a launch counts as perhaps running until a later report lacks it;
+//! - a task whose machine is silent waits until that worker's lease has surely
+//!   lapsed or the cloud confirmed the machine's release;
+//! - an exited task that is done is cleared only after its batch committed;
+//! - attempts are never reused.
+
+use crate::config::Config;
+use crate::room::{Room, add};
+use pulleywood_wire::job::Shape;
+use pulleywood_wire::record::{ChunkRecord, GrantRecord, JobRecord, MachineRecord, Slots, TaskSet};
+use pulleywood_wire::time::secs;
+use pulleywood_wire::worker::{Cause, Order, Report, TaskReport, TaskState};
+use pulleywood_wire::{Attempt, JobId, JobSpec, MachineId, Moment, PartId, Stamp, TaskId, Term};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A live job.
+#[derive(Debug)]
+pub struct Job {
+    /// What was submitted.
+    pub spec: Arc<JobSpec>,
+    /// When, by the acceptor's time of day.
+    pub at_ms: u64,
+    /// Stamp of its record.
+    pub stamp: Stamp,
+    /// Stamps of its continuations.
+    pub chunk_stamps: BTreeMap<u32, Stamp>,
+    /// Done tasks, committed or not.
+    pub done: TaskSet,
+    /// Done tasks as committed.
+    pub committed: TaskSet,
+    /// Tasks to launch.
+    pub waiting: TaskSet,
+    /// Tasks that run or perhaps run, and where.
+    pub active: BTreeMap<u32, MachineId>,
+    /// It may have been launched by an earlier owner.
+    pub old: bool,
+    /// Machines on which it failed since it last succeeded anywhere.
+    pub failed_on: BTreeSet<MachineId>,
+    /// Errors since it last succeeded anywhere.
+    pub failures: u32,
+    /// Not launched before this.
+    pub held_until: Moment,
+    /// When this owner first saw it wait.
+    pub seen: Moment,
+}
+
+/// Where a slot stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotState {
+    /// The launch may have been sent in the answer to this report.
+    Sent {
+        /// The report's session.
+        session: u64,
+        /// The report's number.
+        seq: u64,
+    },
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Saving.
+    Saving,
+    /// Ended; kept until a report lacks it.
+    Exited {
+        /// Completed: cleared only after the commit.
+        done: bool,
+    },
+}
+
+/// One attempt on a machine.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Where it stands.
+    pub state: SlotState,
+    /// Its job's description; none for a job that is not live here.
+    pub spec: Option<Arc<JobSpec>>,
+    /// Told to stop, with this leeway.
+    pub halt: Option<f64>,
+    /// When it was launched or first seen.
+    pub since: Moment,
+    /// When it was first seen running.
+    pub running_since: Option<Moment>,
+}
+
+impl Slot {
+    /// Takes room on its machine.
+    pub fn holds_room(&self) -> bool {
+        !matches!(self.state, SlotState::Exited { .. })
+    }
+}
+
+/// A machine of the part.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its record.
+    pub record: MachineRecord,
+    /// The record's stamp.
+    pub stamp: Stamp,
+    /// It reported under its present term: what it runs is known.
+    pub confirmed: bool,
+    /// It may hold tasks of an earlier owner that nobody has seen yet.
+    pub unheard: bool,
+    /// Newest message taken from it.
+    pub newest: (u64, u64),
+    /// When it joined.
+    pub joined: Moment,
+    /// Arrival of the last report that was answered.
+    pub answered: Option<Moment>,
+    /// When the cloud takes it away.
+    pub taken_at: Option<Moment>,
+    /// Attempts on it.
+    pub slots: Vec<Slot>,
+    /// Images it has, most recently used last.
+    pub images: VecDeque<(String, f64)>,
+    /// Since when it holds no task.
+    pub idle_since: Option<Moment>,
+    /// Jobs that failed here since one last completed.
+    pub failed_jobs: BTreeSet<JobId>,
+    /// To be replaced.
+    pub unfit: bool,
+    /// Nothing is launched: it is being moved or given back.
+    pub leaving: bool,
+}
+
+impl Machine {
+    /// The term its orders carry.
+    pub fn term(&self, part: Term) -> Term {
+        self.record.term.max(part)
+    }
+
+    /// No task holds or may hold room.
+    pub fn is_idle(&self) -> bool {
+        self.confirmed && self.slots.iter().all(|s| !s.holds_room())
+    }
+
+    /// Tasks of jobs that are not live here are still on it.
+    pub fn has_foreign(&self) -> bool {
+        self.slots
+            .iter()
+            .any(|s| s.spec.is_none() && s.holds_room())
+    }
+
+    /// Room left by all that holds or may hold some.
+    pub fn free(&self, whole: Room) -> Room {
+        let mut free = whole;
+        for slot in self.slots.iter().filter(|s| s.holds_room()) {
+            if let Some(spec) = &slot.spec {
+                free -= Room::of_task(spec);
+            }
+        }
+        free
+    }
+
+    fn touch_image(&mut self, name: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(n, _)| n != name);
+        self.images.push_back((name.to_owned(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache_gb
+        {
+            self.images.pop_front();
+        }
+    }
+}
+
+/// How a report was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// Older than one already taken: its answer would be dropped.
+    Stale,
+    /// Not a machine of this part.
+    Unknown,
+    /// Taken.
+    Fresh,
+}
+
+/// What a part's owner knows.
+#[derive(Debug)]
+pub struct PartLedger {
+    /// The part.
+    pub part: PartId,
+    /// The term it was taken under.
+    pub term: Term,
+    /// Live jobs.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Machines.
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// What each limited team may use here.
+    pub grants: GrantRecord,
+    /// Until then an unheard machine may run tasks of the earlier owner.
+    pub silent_until: Moment,
+    /// Slots that other parts report in use, by team.
+    pub elsewhere: BTreeMap<String, Slots>,
+    /// The cluster's zones.
+    pub zones: Vec<String>,
+    pub(crate) plan: BTreeMap<MachineId, Vec<TaskId>>,
+    pub(crate) planned_at: Option<Moment>,
+    pub(crate) dirty_jobs: BTreeSet<JobId>,
+    attempts: u64,
+}
+
+impl PartLedger {
+    /// An empty ledger under a new term.
+    pub fn new(part: PartId, term: Term, silent_until: Moment, zones: Vec<String>) -> Self {
+        Self {
+            part,
+            term,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            grants: GrantRecord::default(),
+            silent_until,
+            elsewhere: BTreeMap::new(),
+            zones,
+            plan: BTreeMap::new(),
+            planned_at: None,
+            dirty_jobs: BTreeSet::new(),
+            attempts: 0,
+        }
+    }
+
+    /// Something changed: the plan is made anew.
+    pub fn disturb(&mut self) {
+        self.planned_at = None;
+    }
+
+    /// A job's record appeared or changed. `old`: an earlier owner may have
+    /// launched it.
+    pub fn put_job(&mut self, record: JobRecord, stamp: Stamp, old: bool, now: Moment, config: &Config) {
+        let id = record.spec.id.clone();
+        let tasks = record.spec.tasks;
+        let mut done = TaskSet::new();
+        if !done.add_chunk(&record.done, 0, config.chunk, tasks) {
+            // A record that cannot be read is no reason to lose the job: its
+            // tasks exit as done again if they are launched again.
+            done = TaskSet::new();
+        }
+        match self.jobs.get_mut(&id) {
+            Some(job) if stamp < job.stamp => {}
+            Some(job) => {
+                job.stamp = stamp;
+                merge(job, &done);
+            }
+            None => {
+                let mut job = Job {
+                    spec: Arc::new(record.spec),
+                    at_ms: record.at_ms,
+                    stamp,
+                    chunk_stamps: BTreeMap::new(),
+                    done: TaskSet::new(),
+                    committed: TaskSet::new(),
+                    waiting: TaskSet::full(tasks),
+                    active: BTreeMap::new(),
+                    old,
+                    failed_on: BTreeSet::new(),
+                    failures: 0,
+                    held_until: Moment(0),
+                    seen: now,
+                };
+                merge(&mut job, &done);
+                self.jobs.insert(id.clone(), job);
+            }
+        }
+        // A record may hold all tasks as done if its last batch was split.
+        self.dirty_jobs.insert(id);
+        self.disturb();
+    }
+
+    /// A continuation of a job's done tasks appeared or changed.
+    pub fn put_chunk(&mut self, id: &JobId, chunk: u32, record: &ChunkRecord, stamp: Stamp, config: &Config) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.chunk_stamps.get(&chunk).is_some_and(|&s| s > stamp) {
+            return;
+        }
+        job.chunk_stamps.insert(chunk, stamp);
+        let mut done = TaskSet::new();
+        if done.add_chunk(&record.done, chunk, config.chunk, job.spec.tasks) {
+            merge(job, &done);
+        }
+        self.dirty_jobs.insert(id.clone());
+    }
+
+    /// A job's record is gone: it is done or cancelled. What still runs of it
+    /// is stopped, and counts until it is gone.
+    pub fn drop_job(&mut self, id: &JobId) {
+        if self.jobs.remove(id).is_none() {
+            return;
+        }
+        for machine in self.machines.values_mut() {
+            for slot in machine.slots.iter_mut().filter(|s| &s.task.job == id) {
+                slot.halt = Some(0.0);
+            }
+        }
+        self.dirty_jobs.remove(id);
+        self.disturb();
+    }
+
+    /// A machine's record appeared or changed. `inherited`: an earlier owner
+    /// may have launched tasks on it, which it did only if the record holds
+    /// the worker's address.
+    pub fn put_machine(&mut self, id: &MachineId, record: MachineRecord, stamp: Stamp, inherited: bool, now: Moment) {
+        let unheard = inherited && !record.endpoint.is_empty();
+        match self.machines.get_mut(id) {
+            Some(machine) if stamp < machine.stamp => {}
+            Some(machine) => {
+                if machine.record.term != record.term {
+                    machine.confirmed = false;
+                }
+                machine.leaving = record.retiring;
+                machine.record = record;
+                machine.stamp = stamp;
+            }
+            None => {
+                let machine = Machine {
+                    leaving: record.retiring,
+                    record,
+                    stamp,
+                    confirmed: false,
+                    unheard,
+                    newest: (0, 0),
+                    joined: now,
+                    answered: None,
+                    taken_at: None,
+                    slots: Vec::new(),
+                    images: VecDeque::new(),
+                    idle_since: None,
+                    failed_jobs: BTreeSet::new(),
+                    unfit: false,
+                };
+                self.machines.insert(id.clone(), machine);
+            }
+        }
+        self.disturb();
+    }
+
+    /// A machine left the part: the cloud confirmed its release, or it was
+    /// moved while idle. Its tasks wait again.
+    pub fn drop_machine(&mut self, id: &MachineId) {
+        if let Some(machine) = self.machines.remove(id) {
+            for slot in &machine.slots {
+                self.requeue(id, &slot.task);
+            }
+        }
+        self.disturb();
+    }
+
+    /// The task no longer holds a slot on this machine.
+    fn requeue(&mut self, machine: &MachineId, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && job.active.get(&task.index) == Some(machine)
+        {
+            job.active.remove(&task.index);
+            if !job.done.contains(task.index) {
+                job.waiting.insert(task.index);
+            }
+        }
+    }
+
+    /// Takes a worker's list of tasks. `reply`: it came in reply to a direct
+    /// command that it executed under the present term, so that answers under
+    /// older terms can no longer reach it.
+    pub fn report(&mut self, report: &Report, reply: bool, now: Moment, config: &Config) -> Taken {
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
+            return Taken::Unknown;
+        };
+        let newest = (report.session, report.seq);
+        if newest <= machine.newest {
+            return Taken::Stale;
+        }
+        machine.newest = newest;
+        let notice = report.notice_s.map(|s| now + secs(s.0));
+        if notice.is_some() != machine.taken_at.is_some() {
+            self.planned_at = None;
+        }
+        machine.taken_at = notice;
+        // A report that has not seen this term may have been held back by the
+        // network, and orders of an older term may have been executed since.
+        // The next one, sent after our answer, tells the truth.
+        if report.term < machine.term(self.term) {
+            return Taken::Fresh;
+        }
+        if reply {
+            // Its lease cannot last longer than if it had reported now.
+            machine.answered = machine.answered.max(Some(now));
+        }
+        let first = !machine.confirmed || machine.unheard;
+        machine.confirmed = true;
+        machine.unheard = false;
+        if first {
+            self.planned_at = None;
+        }
+        self.reconcile(report, reply, now, config);
+        Taken::Fresh
+    }
+
+    fn reconcile(&mut self, report: &Report, reply: bool, now: Moment, config: &Config) {
+        let id = &report.machine;
+        let Some(mut machine) = self.machines.remove(id) else {
+            return;
+        };
+        let cache_gb = config
+            .flavors
+            .get(&machine.record.flavor)
+            .map_or(0.0, |f| f.cache_gb.0);
+        let mut changed = false;
+        for seen in &report.tasks {
+            let known = machine
+                .slots
+                .iter()
+                .position(|s| s.task == seen.task && s.attempt == seen.attempt);
+            let at = match known {
+                Some(at) => at,
+                None => {
+                    changed = true;
+                    machine.slots.push(self.adopt(id, seen, now));
+                    machine.slots.len() - 1
+                }
+            };
+            changed |= self.observe(id, &mut machine, at, seen, now, cache_gb);
+        }
+        // What a later report lacks is gone. A reply proves nothing of a
+        // launch whose answer may still be under way.
+        let mut gone = Vec::new();
+        machine.slots.retain(|slot| {
+            let listed = report
+                .tasks
+                .iter()
+                .any(|t| t.task == slot.task && t.attempt == slot.attempt);
+            let maybe_coming = match slot.state {
+                SlotState::Sent { session, seq } => {
+                    reply && session == report.session || (report.session, report.seq) <= (session, seq)
+                }
+                _ => false,
+            };
+            let keep = listed || maybe_coming;
+            if !keep {
+                gone.push(slot.task.clone());
+            }
+            keep
+        });
+        for task in gone {
+            changed = true;
+            self.requeue(id, &task);
+        }
+        if machine.slots.iter().any(Slot::holds_room) {
+            machine.idle_since = None;
+        } else {
+            machine.idle_since.get_or_insert(now);
+        }
+        self.machines.insert(id.clone(), machine);
+        if changed {
+            self.disturb();
+        }
+    }
+
+    /// A task that this ledger did not launch: rebuilt after a take-over, or
+    /// of a job that is over.
+    fn adopt(&mut self, machine: &MachineId, seen: &TaskReport, now: Moment) -> Slot {
+        let mut halt = Some(0.0);
+        let mut spec = None;
+        if let Some(job) = self.jobs.get_mut(&seen.task.job)
+            && seen.task.index < job.spec.tasks
+        {
+            spec = Some(Arc::clone(&job.spec));
+            let exited = seen.state == TaskState::Exited;
+            if !exited
+                && !job.done.contains(seen.task.index)
+                && !job.active.contains_key(&seen.task.index)
+            {
+                job.active.insert(seen.task.index, machine.clone());
+                job.waiting.remove(seen.task.index);
+                halt = None;
+            }
+        }
+        Slot {
+            task: seen.task.clone(),
+            attempt: seen.attempt,
+            state: SlotState::Fetching,
+            spec,
+            halt,
+            since: now,
+            running_since: None,
+        }
+    }
+
+    /// Brings one slot up to what was reported; whether room or work changed.
+    fn observe(
+        &mut self,
+        id: &MachineId,
+        machine: &mut Machine,
+        at: usize,
+        seen: &TaskReport,
+        now: Moment,
+        cache_gb: f64,
+    ) -> bool {
+        let slot = &mut machine.slots[at];
+        let before = slot.state;
+        let after = match seen.state {
+            TaskState::Fetching => SlotState::Fetching,
+            TaskState::Running => SlotState::Running,
+            TaskState::Saving => SlotState::Saving,
+            TaskState::Exited => SlotState::Exited {
+                done: seen.cause == Some(Cause::Done),
+            },
+        };
+        if before == after {
+            return false;
+        }
+        slot.state = after;
+        if after == SlotState::Running {
+            slot.running_since.get_or_insert(now);
+        }
+        let task = slot.task.clone();
+        let spec = slot.spec.clone();
+        if let Some(spec) = &spec
+            && matches!(after, SlotState::Running | SlotState::Exited { done: true })
+        {
+            machine.touch_image(&spec.image, spec.image_gb.0, cache_gb);
+        }
+        if !matches!(after, SlotState::Exited { .. }) {
+            return matches!(before, SlotState::Sent { .. });
+        }
+        match seen.cause {
+            Some(Cause::Done) => {
+                machine.failed_jobs.clear();
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.failures = 0;
+                    job.failed_on.clear();
+                    // A replica that ends by itself is started again.
+                    if job.spec.shape == Shape::Array && task.index < job.spec.tasks {
+                        job.waiting.remove(task.index);
+                        if job.done.insert(task.index) {
+                            self.dirty_jobs.insert(task.job.clone());
+                        }
+                    }
+                }
+            }
+            Some(Cause::Error | Cause::NoSuch) => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.failures += 1;
+                    job.failed_on.insert(id.clone());
+                    // One failure is the machine's; a job that fails on
+                    // several machines is held back, and blames none.
+                    let several = job.failed_on.len() >= 3;
+                    if several || seen.cause == Some(Cause::NoSuch) {
+                        let wait = 1u64 << job.failures.min(6);
+                        job.held_until = now + Duration::from_secs(wait);
+                    }
+                    if seen.cause == Some(Cause::Error) && !several {
+                        machine.failed_jobs.insert(task.job.clone());
+                    }
+                    if several {
+                        let id = &task.job;
+                        machine.failed_jobs.remove(id);
+                        for other in self.machines.values_mut() {
+                            other.failed_jobs.remove(id);
+                        }
+                    }
+                }
+            }
+            _ => {}
+        }
+        self.requeue(id, &task);
+        true
+    }
+
+    /// Orders for a machine whose report has just been taken. `launch`: the
+    /// lease surely lasts until the answer is sent.
+    pub fn answer(&mut self, id: &MachineId, launch: bool, now: Moment, config: &Config) -> Vec<Order> {
+        if launch {
+            self.replan(now, config);
+        }
+        let planned = if launch {
+            self.plan.remove(id).unwrap_or_default()
+        } else {
+            Vec::new()
+        };
+        let Some(machine) = self.machines.get_mut(id) else {
+            return Vec::new();
+        };
+        machine.answered = machine.answered.max(Some(now));
+        let mut orders = standing_orders(&machine.slots, &self.jobs);
+        let term = machine.term(self.term);
+        // A record without the worker's address is of a machine that was never
+        // launched on; a take-over relies on it, so it is completed first.
+        if !machine.confirmed || machine.leaving || machine.record.endpoint.is_empty() {
+            return orders;
+        }
+        let (session, seq) = machine.newest;
+        for task in planned {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            if !job.waiting.contains(task.index) || job.active.contains_key(&task.index) {
+                continue;
+            }
+            let Some(attempt) = Attempt::pack(term, self.attempts) else {
+                break;
+            };
+            self.attempts += 1;
+            job.waiting.remove(task.index);
+            job.active.insert(task.index, id.clone());
+            machine.slots.push(Slot {
+                task: task.clone(),
+                attempt,
+                state: SlotState::Sent { session, seq },
+                spec: Some(Arc::clone(&job.spec)),
+                halt: None,
+                since: now,
+                running_since: None,
+            });
+            machine.idle_since = None;
+            orders.push(Order::Launch { leg: task, attempt });
+        }
+        orders
+    }
+
+    /// Halts and clears that stand for a machine: all that a direct command
+    /// may carry.
+    pub fn direct_orders(&self, id: &MachineId) -> Vec<Order> {
+        self.machines
+            .get(id)
+            .map(|m| standing_orders(&m.slots, &self.jobs))
+            .unwrap_or_default()
+    }
+
+    /// Passing time: leases lapse, spot notices run out.
+    pub fn tick(&mut self, now: Moment, config: &Config) {
+        let lapse = config.surely_lapsed();
+        let mut gone = Vec::new();
+        let mut changed = false;
+        for (id, machine) in &mut self.machines {
+            let silent = machine.answered.is_none_or(|at| now >= at + lapse);
+            if machine.unheard && silent && now >= self.silent_until {
+                machine.unheard = false;
+                changed = true;
+            }
+            if machine.answered.is_some() && silent && !machine.unheard && machine.confirmed {
+                // Its worker has killed and forgotten everything.
+                machine.confirmed = false;
+                machine.idle_since = None;
+                for slot in machine.slots.drain(..) {
+                    gone.push((id.clone(), slot.task));
+                }
+            }
+            if let Some(end) = machine.taken_at {
+                let left = end.since(now).as_secs_f64();
+                let margin = config.report.as_secs_f64() * 2.5 + 0.5;
+                for slot in machine.slots.iter_mut().filter(|s| s.holds_room()) {
+                    let save = slot.spec.as_ref().map_or(0.0, |s| s.save_s.0);
+                    if slot.halt.is_none() && left <= save + margin {
+                        slot.halt = Some(left.max(save));
+                    }
+                }
+            }
+            if machine.failed_jobs.len() >= config.policy.sick_jobs as usize && !machine.unfit {
+                machine.unfit = true;
+                changed = true;
+            }
+        }
+        for (id, task) in gone {
+            self.requeue(&id, &task);
+            changed = true;
+        }
+        if changed {
+            self.disturb();
+        }
+    }
+
+    /// Whether any unheard machine may still run a task of this job.
+    pub fn may_run_unseen(&self, job: &Job) -> bool {
+        job.old
+            && self.machines.values().any(|m| {
+                let spec = &job.spec;
+                m.unheard
+                    && (spec.spot || !m.record.spot)
+                    && spec.zone.as_ref().is_none_or(|z| *z == m.record.zone)
+                    && spec
+                        .types
+                        .as_ref()
+                        .is_none_or(|t| t.contains(&m.record.flavor))
+            })
+    }
+
+    /// Whether the machine holds nothing and may leave the part.
+    pub fn may_leave(&self, id: &MachineId) -> bool {
+        self.machines
+            .get(id)
+            .is_some_and(|m| !m.unheard && !m.leaving && m.slots.is_empty())
+    }
+
+    /// Whether any machine is still to be heard after a take-over.
+    pub fn rebuilding(&self) -> bool {
+        self.machines.values().any(|m| m.unheard)
+    }
+
+    /// Slots in use or perhaps in use by team. A machine whose tasks are not
+    /// all known counts in full against every limited team.
+    pub fn used(&self, config: &Config) -> BTreeMap<String, Slots> {
+        let mut used: BTreeMap<String, Slots> = BTreeMap::new();
+        let mut unknown = Slots::default();
+        for machine in self.machines.values() {
+            for slot in machine.slots.iter().filter(|s| s.holds_room()) {
+                if let Some(spec) = &slot.spec {
+                    add(
+                        used.entry(spec.team.clone()).or_default(),
+                        Room::of_task(spec).slots(),
+                    );
+                }
+            }
+            if machine.unheard || machine.has_foreign() {
+                let whole = config
+                    .flavors
+                    .get(&machine.record.flavor)
+                    .map(Room::of_flavor)
+                    .unwrap_or(Room {
+                        cpus: f64::MAX / 1e6,
+                        gpus: f64::MAX / 1e6,
+                        memory_gb: 0.0,
+                    });
+                add(&mut unknown, whole.slots());
+            }
+        }
+        for (name, team) in &config.teams {
+            if team.limited() {
+                add(used.entry(name.clone()).or_default(), unknown);
+            }
+        }
+        used
+    }
+
+    /// Running tasks of a job.
+    pub fn running(&self, id: &JobId) -> u32 {
+        let Some(job) = self.jobs.get(id) else {
+            return 0;
+        };
+        let on: BTreeSet<&MachineId> = job.active.values().collect();
+        on.into_iter()
+            .filter_map(|m| self.machines.get(m))
+            .flat_map(|m| &m.slots)
+            .filter(|s| &s.task.job == id && matches!(s.state, SlotState::Running | SlotState::Saving))
+            .count() as u32
+    }
+}
+
+fn merge(job: &mut Job, done: &TaskSet) {
+    for i in done.iter() {
+        job.committed.insert(i);
+        job.done.insert(i);
+        job.waiting.remove(i);
+    }
+}
+
+fn standing_orders(slots: &[Slot], jobs: &BTreeMap<JobId, Job>) -> Vec<Order> {
+    let mut orders = Vec::new();
+    for slot in slots {
+        let (leg, attempt) = (slot.task.clone(), slot.attempt);
+        match (slot.state, slot.halt) {
+            (SlotState::Exited { done }, _) => {
+                let committed = jobs
+                    .get(&leg.job)
+                    .is_none_or(|job| job.spec.shape == Shape::Service || job.committed.contains(leg.index));
+                if !done || committed {
+                    orders.push(Order::Clear { leg, attempt });
+                }
+            }
+            // It saves already; only an end without leeway has more to say.
+            (SlotState::Saving, Some(leeway)) if leeway > 0.0 => {}
+            (_, Some(leeway_s)) => orders.push(Order::Halt {
+                leg,
+                attempt,
+                leeway_s,
+            }),
+            _ => {}
+        }
+    }
+    orders
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Pure decisions of pulleywood: what a part knows of its jobs and machines,
+//! where tasks go, what yields to what, how teams' slots and machines move.
+//!
+//! Nothing here does I/O, reads a clock, starts a thread or draws a random
+//! number: times are passed in, so every rule can be tested in a table.
+
+pub mod config;
+pub mod digest;
+pub mod done;
+pub mod fleet;
+pub mod grants;
+pub mod ledger;
+pub mod place;
+pub mod room;
+
+pub use config::Config;
+pub use ledger::PartLedger;
+pub use room::Room;
--- /dev/null
+++ b/crates/pulleywood-core/src/place.rs
@@ -0,0 +1,444 @@
+//! Placement and preemption: which waiting task goes to which machine, and
+//! what yields to it.
+//!
+//! The plan is made anew whenever something changed; a machine's share of it
+//! goes out when that machine reports. Teams take turns by weight, after work
+//! within a guarantee.
+
+use crate::config::Config;
+use crate::ledger::{Job, Machine, PartLedger, Slot, SlotState};
+use crate::room::{Room, add, within};
+use pulleywood_wire::job::{Rank, Shape};
+use pulleywood_wire::record::Slots;
+use pulleywood_wire::{JobId, JobSpec, MachineId, Moment, TaskId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A plan is good for this long if nothing changes.
+const PLAN_AGE: Duration = Duration::from_millis(1000);
+
+/// A machine as the plan sees it.
+struct Site {
+    id: MachineId,
+    zone: String,
+    flavor: String,
+    spot: bool,
+    whole: Room,
+    free: Room,
+    /// Room of tasks that were told to stop.
+    coming: Room,
+    fetch_rate: f64,
+    /// Images present, and those being fetched with the GB still queued.
+    images: Vec<String>,
+    fetching: Vec<String>,
+    queued_gb: f64,
+}
+
+impl Site {
+    fn allows(&self, spec: &JobSpec) -> bool {
+        (spec.spot || !self.spot)
+            && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
+            && spec
+                .types
+                .as_ref()
+                .is_none_or(|t| t.contains(&self.flavor))
+    }
+
+    /// Seconds until a task with this image could start.
+    fn delay(&self, spec: &JobSpec) -> f64 {
+        if spec.image_gb.0 <= 0.0 || self.images.contains(&spec.image) {
+            return 0.0;
+        }
+        let rate = self.fetch_rate.max(0.001);
+        if self.fetching.contains(&spec.image) {
+            return self.queued_gb / rate * 0.5;
+        }
+        (self.queued_gb + spec.image_gb.0) / rate
+    }
+
+    /// What it costs to run a task here, in seconds of delay.
+    fn cost(&self, spec: &JobSpec, config: &Config) -> f64 {
+        let bias = if spec.spot && !self.spot {
+            config.policy.spot_bias_s
+        } else {
+            0.0
+        };
+        // Fuller machines first, so that others fall idle and can be returned.
+        self.delay(spec) + bias + 10.0 * self.free.share_of(&self.whole)
+    }
+
+    fn take(&mut self, spec: &JobSpec) {
+        self.free -= Room::of_task(spec);
+        if spec.image_gb.0 > 0.0
+            && !self.images.contains(&spec.image)
+            && !self.fetching.contains(&spec.image)
+        {
+            self.fetching.push(spec.image.clone());
+            self.queued_gb += spec.image_gb.0;
+        }
+    }
+}
+
+/// Tasks of one job by zone, for jobs bound to one zone or spread over zones.
+fn by_zone(job: &Job, machines: &BTreeMap<MachineId, Machine>) -> BTreeMap<String, u32> {
+    let mut zones = BTreeMap::new();
+    if job.spec.one_zone || job.spec.spread {
+        for id in job.active.values() {
+            if let Some(machine) = machines.get(id) {
+                *zones.entry(machine.record.zone.clone()).or_insert(0) += 1;
+            }
+        }
+    }
+    zones
+}
+
+/// Whether one more task may go to `zone`.
+fn zone_allows(spec: &JobSpec, zones: &BTreeMap<String, u32>, zone: &str) -> bool {
+    if spec.one_zone && zones.keys().any(|z| z != zone) {
+        return false;
+    }
+    !spec.spread || zones.get(zone).copied().unwrap_or(0) < spec.zone_limit()
+}
+
+/// A waiting job in the order of a plan.
+struct Turn {
+    id: JobId,
+    rank: Rank,
+    at_ms: u64,
+}
+
+impl PartLedger {
+    /// Makes the plan anew if it is out of date.
+    pub(crate) fn replan(&mut self, now: Moment, config: &Config) {
+        if self
+            .planned_at
+            .is_some_and(|at| now.since(at) < PLAN_AGE)
+        {
+            return;
+        }
+        self.planned_at = Some(now);
+        self.plan.clear();
+        let mut sites = self.sites(now, config);
+        let mut used = self.used(config);
+        let mut unplaced: Vec<JobId> = Vec::new();
+        let mut queues = self.queues(now);
+        while let Some(team) = self.next_team(&queues, &used, config) {
+            let Some(queue) = queues.get_mut(&team) else {
+                break;
+            };
+            let Some(turn) = queue.pop() else {
+                queues.remove(&team);
+                continue;
+            };
+            if !self.place(&turn.id, &mut sites, &mut used, config) {
+                unplaced.push(turn.id);
+            }
+        }
+        for id in unplaced {
+            self.preempt(&id, &mut sites, &used, now, config);
+        }
+    }
+
+    /// Machines that may be given tasks now.
+    fn sites(&self, now: Moment, config: &Config) -> Vec<Site> {
+        let fresh = config.report.mul_f64(3.0) + Duration::from_secs(1);
+        let mut sites = Vec::new();
+        for (id, m) in &self.machines {
+            let heard = m.answered.is_some_and(|at| now.since(at) < fresh);
+            let usable = m.confirmed
+                && heard
+                && !m.leaving
+                && !m.unfit
+                && m.taken_at.is_none()
+                && !m.has_foreign();
+            let Some(flavor) = config.flavors.get(&m.record.flavor).filter(|_| usable) else {
+                continue;
+            };
+            let whole = Room::of_flavor(flavor);
+            let mut coming = Room::default();
+            let mut fetching = Vec::new();
+            let mut queued_gb = 0.0;
+            for slot in m.slots.iter().filter(|s| s.holds_room()) {
+                let Some(spec) = &slot.spec else { continue };
+                if slot.halt.is_some() {
+                    coming += Room::of_task(spec);
+                }
+                let waits = matches!(slot.state, SlotState::Sent { .. } | SlotState::Fetching);
+                let has = m.images.iter().any(|(n, _)| *n == spec.image);
+                if waits && !has && !fetching.contains(&spec.image) {
+                    fetching.push(spec.image.clone());
+                    queued_gb += spec.image_gb.0;
+                }
+            }
+            sites.push(Site {
+                id: id.clone(),
+                zone: m.record.zone.clone(),
+                flavor: m.record.flavor.clone(),
+                spot: m.record.spot,
+                whole,
+                free: m.free(whole),
+                coming,
+                fetch_rate: flavor.fetch_gb_per_s.0,
+                images: m.images.iter().map(|(n, _)| n.clone()).collect(),
+                fetching,
+                queued_gb,
+            });
+        }
+        sites
+    }
+
+    /// Waiting jobs by team, next one last.
+    fn queues(&self, now: Moment) -> BTreeMap<String, Vec<Turn>> {
+        let mut queues: BTreeMap<String, Vec<Turn>> = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            if job.waiting.is_empty() || now < job.held_until || self.may_run_unseen(job) {
+                continue;
+            }
+            queues.entry(job.spec.team.clone()).or_default().push(Turn {
+                id: id.clone(),
+                rank: job.spec.rank,
+                at_ms: job.at_ms,
+            });
+        }
+        for queue in queues.values_mut() {
+            queue.sort_by(|a, b| (a.rank, b.at_ms, &b.id).cmp(&(b.rank, a.at_ms, &a.id)));
+        }
+        queues
+    }
+
+    /// A team's usage over all parts, as far as known.
+    fn everywhere(&self, team: &str, used: &BTreeMap<String, Slots>) -> Slots {
+        let mut sum = used.get(team).copied().unwrap_or_default();
+        if let Some(&more) = self.elsewhere.get(team) {
+            add(&mut sum, more);
+        }
+        sum
+    }
+
+    /// The team whose turn it is: work within a guarantee first, then rank,
+    /// then the least use for its weight.
+    fn next_team(
+        &self,
+        queues: &BTreeMap<String, Vec<Turn>>,
+        used: &BTreeMap<String, Slots>,
+        config: &Config,
+    ) -> Option<String> {
+        queues
+            .iter()
+            .filter_map(|(name, queue)| {
+                let turn = queue.last()?;
+                let spec = &self.jobs.get(&turn.id)?.spec;
+                let mut with = self.everywhere(name, used);
+                let weight = config.teams.get(name).map_or(1.0, |t| t.weight).max(1e-6);
+                let load = (with.gpus.0 * 1000.0 + with.cpus.0) / weight;
+                add(&mut with, Room::of_task(spec).slots());
+                let within = config.teams.get(name).is_some_and(|t| t.guarantees(with));
+                Some((within, turn.rank, load, name))
+            })
+            .max_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(b.2.total_cmp(&a.2)))
+            .map(|(.., name)| name.clone())
+    }
+
+    /// Whether the part's grant lets the team take these slots too.
+    fn granted(
+        &self,
+        spec: &JobSpec,
+        used: &BTreeMap<String, Slots>,
+        config: &Config,
+    ) -> bool {
+        let Some(team) = config.teams.get(&spec.team) else {
+            return false;
+        };
+        let grant = self.grants.teams.get(&spec.team).copied().unwrap_or_default();
+        within(
+            used.get(&spec.team).copied().unwrap_or_default(),
+            Room::of_task(spec).slots(),
+            grant,
+            team.limit,
+        )
+    }
+
+    /// Plans as many of a job's waiting tasks as fit; whether all did.
+    fn place(
+        &mut self,
+        id: &JobId,
+        sites: &mut [Site],
+        used: &mut BTreeMap<String, Slots>,
+        config: &Config,
+    ) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return true;
+        };
+        let spec = &job.spec;
+        let need = Room::of_task(spec);
+        let mut zones = by_zone(job, &self.machines);
+        for index in job.waiting.iter() {
+            if !self.granted(spec, used, config) {
+                // More room would not help.
+                return true;
+            }
+            let best = sites
+                .iter_mut()
+                .filter(|s| {
+                    s.free.fits(&need)
+                        && s.allows(spec)
+                        && !job.failed_on.contains(&s.id)
+                        && zone_allows(spec, &zones, &s.zone)
+                })
+                .min_by(|a, b| a.cost(spec, config).total_cmp(&b.cost(spec, config)));
+            let Some(site) = best else {
+                return false;
+            };
+            site.take(spec);
+            *zones.entry(site.zone.clone()).or_insert(0) += 1;
+            add(used.entry(spec.team.clone()).or_default(), need.slots());
+            self.plan.entry(site.id.clone()).or_default().push(TaskId {
+                job: id.clone(),
+                index,
+            });
+        }
+        true
+    }
+
+    /// Stops what must yield to a job that found no room, cheapest first.
+    /// Room that is already coming free is counted before more is taken.
+    fn preempt(
+        &mut self,
+        id: &JobId,
+        sites: &mut [Site],
+        used: &BTreeMap<String, Slots>,
+        now: Moment,
+        config: &Config,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let spec = std::sync::Arc::clone(&job.spec);
+        let need = Room::of_task(&spec);
+        let planned = self
+            .plan
+            .values()
+            .flatten()
+            .filter(|t| &t.job == id)
+            .count() as u32;
+        let mut zones = by_zone(job, &self.machines);
+        let failed_on = job.failed_on.clone();
+        let mut used = used.clone();
+        for _ in planned..job.waiting.len() {
+            if !self.granted(&spec, &used, config) {
+                return;
+            }
+            let mut best: Option<(f64, usize, Vec<usize>)> = None;
+            for (at, site) in sites.iter().enumerate() {
+                if !site.allows(&spec)
+                    || failed_on.contains(&site.id)
+                    || !zone_allows(&spec, &zones, &site.zone)
+                    || !site.whole.fits(&need)
+                {
+                    continue;
+                }
+                let Some((loss, victims)) = self.victims(site, &spec, &need, &used, now, config)
+                else {
+                    continue;
+                };
+                let cost = loss + site.delay(&spec);
+                if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
+                    best = Some((cost, at, victims));
+                }
+            }
+            let Some((_, at, victims)) = best else {
+                return;
+            };
+            let site = &mut sites[at];
+            if let Some(machine) = self.machines.get_mut(&site.id) {
+                for v in victims {
+                    let slot = &mut machine.slots[v];
+                    if let Some(victim) = &slot.spec {
+                        slot.halt = Some(victim.save_s.0 + 1.0);
+                        site.coming += Room::of_task(victim);
+                    }
+                }
+            }
+            // The room now belongs to this job.
+            let mut room = site.free;
+            room += site.coming;
+            room -= need;
+            site.coming = room;
+            site.free = Room::default();
+            *zones.entry(site.zone.clone()).or_insert(0) += 1;
+            add(used.entry(spec.team.clone()).or_default(), need.slots());
+        }
+    }
+
+    /// The cheapest tasks to stop on one machine, and what is lost by it;
+    /// nothing if stopping all that may be stopped would not do.
+    fn victims(
+        &self,
+        site: &Site,
+        spec: &JobSpec,
+        need: &Room,
+        used: &BTreeMap<String, Slots>,
+        now: Moment,
+        config: &Config,
+    ) -> Option<(f64, Vec<usize>)> {
+        let machine = self.machines.get(&site.id)?;
+        let mut room = site.free;
+        room += site.coming;
+        if room.fits(need) {
+            return Some((0.0, Vec::new()));
+        }
+        let mut mine = self.everywhere(&spec.team, used);
+        add(&mut mine, need.slots());
+        let within = config
+            .teams
+            .get(&spec.team)
+            .is_some_and(|t| t.guarantees(mine));
+        let mut candidates: Vec<(f64, usize)> = machine
+            .slots
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| slot.halt.is_none() && slot.holds_room())
+            .filter(|(_, slot)| {
+                slot.spec.as_ref().is_some_and(|victim| {
+                    let beyond = victim.team != spec.team
+                        && !config
+                            .teams
+                            .get(&victim.team)
+                            .is_some_and(|t| t.guarantees(self.everywhere(&victim.team, used)));
+                    victim.rank < spec.rank || (within && beyond)
+                })
+            })
+            .map(|(at, slot)| (loss(slot, now), at))
+            .collect();
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut lost = 0.0;
+        let mut victims = Vec::new();
+        for (loss, at) in candidates {
+            if let Some(victim) = &machine.slots[at].spec {
+                room += Room::of_task(victim);
+                lost += loss;
+                victims.push(at);
+            }
+            if room.fits(need) {
+                return Some((lost, victims));
+            }
+        }
+        None
+    }
+}
+
+/// Seconds of work and waiting that stopping a task costs.
+fn loss(slot: &Slot, now: Moment) -> f64 {
+    let Some(spec) = &slot.spec else { return 0.0 };
+    let ran = slot
+        .running_since
+        .map_or(0.0, |at| now.since(at).as_secs_f64());
+    if spec.shape == Shape::Service {
+        return 60.0 + ran;
+    }
+    if spec.checkpoint_s.0 > 0.0 {
+        spec.save_s.0 + 2.0
+    } else {
+        ran
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/room.rs
@@ -0,0 +1,118 @@
+//! Amounts of a machine's room.
+
+use pulleywood_wire::JobSpec;
+use pulleywood_wire::cloud::Flavor;
+use pulleywood_wire::record::Slots;
+use std::ops::{AddAssign, SubAssign};
+
+/// Amounts are compared with this tolerance, since they are summed as floats.
+const SLACK: f64 = 1e-6;
+
+/// Processors, GPUs and memory.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Room {
+    /// Processors.
+    pub cpus: f64,
+    /// GPUs.
+    pub gpus: f64,
+    /// Memory in GB.
+    pub memory_gb: f64,
+}
+
+impl Room {
+    /// What one task of a job takes.
+    pub fn of_task(spec: &JobSpec) -> Room {
+        Room {
+            cpus: spec.cpus.0,
+            gpus: spec.gpus.0,
+            memory_gb: spec.memory_gb.0,
+        }
+    }
+
+    /// What a machine of this type holds.
+    pub fn of_flavor(flavor: &Flavor) -> Room {
+        Room {
+            cpus: flavor.cpus.0,
+            gpus: flavor.gpus.0,
+            memory_gb: flavor.memory_gb.0,
+        }
+    }
+
+    /// Whether `need` fits.
+    pub fn fits(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus + SLACK
+            && need.gpus <= self.gpus + SLACK
+            && need.memory_gb <= self.memory_gb + SLACK
+    }
+
+    /// The largest share of `whole` that this takes.
+    pub fn share_of(&self, whole: &Room) -> f64 {
+        let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
+        part(self.cpus, whole.cpus)
+            .max(part(self.gpus, whole.gpus))
+            .max(part(self.memory_gb, whole.memory_gb))
+    }
+
+    /// How many times `need` fits.
+    pub fn times(&self, need: &Room) -> u32 {
+        let part = |a: f64, b: f64| {
+            if b > SLACK {
+                ((a + SLACK) / b).floor().max(0.0)
+            } else {
+                f64::from(u32::MAX)
+            }
+        };
+        part(self.cpus, need.cpus)
+            .min(part(self.gpus, need.gpus))
+            .min(part(self.memory_gb, need.memory_gb)) as u32
+    }
+
+    /// The amounts that count against a team.
+    pub fn slots(&self) -> Slots {
+        Slots {
+            cpus: pulleywood_wire::cbor::Amount(self.cpus),
+            gpus: pulleywood_wire::cbor::Amount(self.gpus),
+        }
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, o: Room) {
+        self.cpus += o.cpus;
+        self.gpus += o.gpus;
+        self.memory_gb += o.memory_gb;
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, o: Room) {
+        self.cpus -= o.cpus;
+        self.gpus -= o.gpus;
+        self.memory_gb -= o.memory_gb;
+    }
+}
+
+/// Adds slots.
+pub fn add(a: &mut Slots, b: Slots) {
+    a.cpus.0 += b.cpus.0;
+    a.gpus.0 += b.gpus.0;
+}
+
+/// Whether `used` and `need` together stay within `limit`, where a limit of 0
+/// means none.
+pub fn within(used: Slots, need: Slots, limit: Slots, published: Slots) -> bool {
+    let fits = |used: f64, need: f64, limit: f64, published: f64| {
+        published <= 0.0 || used + need <= limit + SLACK
+    };
+    fits(
+        used.cpus.0,
+        need.cpus.0,
+        limit.cpus.0,
+        published.cpus.0,
+    ) && fits(
+        used.gpus.0,
+        need.gpus.0,
+        limit.gpus.0,
+        published.gpus.0,
+    )
+}
--- /dev/null
+++ b/crates/pulleywood-net/src/budget.rs
@@ -0,0 +1,146 @@
+//! Token buckets for calls to the state service and the cloud.
+//!
+//! Each controller holds a share of the published rates, bursts included, so
+//! that the sum over controllers stays within them whatever each one does.
+
+use parking_lot::Mutex;
+use std::time::{Duration, Instant};
+
+/// Who asks; earlier ones may use tokens that later ones must leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Lease renewals.
+    Lease,
+    /// Fences, take-overs and done batches.
+    Owner,
+    /// Users' requests.
+    User,
+    /// Everything that can wait.
+    House,
+}
+
+impl Class {
+    /// Share of the bucket that must remain after this class took its tokens.
+    fn reserve(self) -> f64 {
+        match self {
+            Class::Lease => 0.0,
+            Class::Owner => 0.1,
+            Class::User => 0.2,
+            Class::House => 0.4,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    /// Starts a quarter full: a process that restarts often must not bring a
+    /// whole burst with it each time.
+    fn new(rate: f64, burst: f64) -> Self {
+        let burst = burst.max(1.0);
+        Self {
+            rate,
+            burst,
+            tokens: burst / 4.0,
+            filled: Instant::now(),
+        }
+    }
+
+    fn fill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.rate).min(self.burst);
+        self.filled = now;
+    }
+
+    /// Time until `n` tokens can be taken; none if they can be now.
+    fn lacks(&self, n: f64, reserve: f64) -> Option<Duration> {
+        let need = (n + reserve * self.burst).min(self.burst.max(n));
+        (self.tokens < need)
+            .then(|| Duration::from_secs_f64(((need - self.tokens) / self.rate).min(60.0)))
+    }
+}
+
+/// A budget of requests, and of writes among them.
+#[derive(Debug)]
+pub struct Budget {
+    buckets: Mutex<(Bucket, Bucket)>,
+}
+
+impl Budget {
+    /// A share of `rps` requests and `write_rps` writes a second with bursts
+    /// of `burst_s` seconds' worth.
+    pub fn new(rps: f64, write_rps: f64, burst_s: f64) -> Self {
+        Self {
+            buckets: Mutex::new((
+                Bucket::new(rps, rps * burst_s),
+                Bucket::new(write_rps, write_rps * burst_s),
+            )),
+        }
+    }
+
+    /// Takes one request with `writes` writes, or says how long to wait.
+    pub fn take(&self, class: Class, writes: u32) -> Result<(), Duration> {
+        self.take_at(Instant::now(), class, writes)
+    }
+
+    /// As [`Budget::take`], at a given time.
+    pub fn take_at(&self, now: Instant, class: Class, writes: u32) -> Result<(), Duration> {
+        let mut both = self.buckets.lock();
+        both.0.fill(now);
+        both.1.fill(now);
+        let writes = f64::from(writes);
+        let mut wait = both.0.lacks(1.0, class.reserve());
+        if writes > 0.0 {
+            wait = wait.max(both.1.lacks(writes, class.reserve()));
+        }
+        if let Some(wait) = wait {
+            return Err(wait);
+        }
+        both.0.tokens -= 1.0;
+        both.1.tokens -= writes;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn classes_leave_tokens_to_those_before_them() {
+        let cases = [
+            (Class::House, 6),
+            (Class::User, 8),
+            (Class::Owner, 9),
+            (Class::Lease, 10),
+        ];
+        for (class, expected) in cases {
+            let budget = Budget::new(10.0, 10.0, 1.0);
+            let full = Instant::now() + Duration::from_secs(10);
+            let taken = (0..20)
+                .take_while(|_| budget.take_at(full, class, 1).is_ok())
+                .count();
+            assert_eq!(taken, expected, "{class:?}");
+        }
+    }
+
+    #[test]
+    fn shares_of_all_controllers_stay_within_the_published_rate() {
+        let start = Instant::now();
+        let budgets: Vec<_> = (0..3).map(|_| Budget::new(20.0, 5.0, 1.0)).collect();
+        let mut taken = 0;
+        for ms in 0..10_000u64 {
+            let now = start + Duration::from_millis(ms);
+            for b in &budgets {
+                taken += u32::from(b.take_at(now, Class::Lease, 0).is_ok());
+            }
+        }
+        assert!(taken <= 60 * 10 + 60, "{taken}");
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-net/src/lib.rs
@@ -0,0 +1,15 @@
+//! Blocking networking of pulleywood: an HTTP/1.1 server and client with
+//! deadlines, token budgets, typed clients of the state service, the cloud
+//! and workers, and calls between controllers.
+
+pub mod budget;
+pub mod client;
+pub mod cloud;
+pub mod peer;
+pub mod server;
+pub mod state;
+
+pub use budget::{Budget, Class};
+pub use client::{Client, Failure};
+pub use cloud::CloudClient;
+pub use state::{StateClient, StateError};
--- /dev/null
+++ b/crates/pulleywood-net/src/state.rs
@@ -0,0 +1,256 @@
+//! The typed client of the state service.
+
+use crate::budget::{Budget, Class};
+use crate::client::{Answer, Client, Failure};
+use pulleywood_wire::cbor;
+use pulleywood_wire::state::{Commit, Events, Granted, Item, Page, Revision, Ttl};
+use pulleywood_wire::{Permit, Stamp};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Why a call to the state service brought no result.
+#[derive(Debug, thiserror::Error)]
+pub enum StateError {
+    /// This controller's tokens are used up for this class of call.
+    #[error("budget used up for {0:?}")]
+    Budget(Duration),
+    /// The service refused without executing it.
+    #[error("refused with {0}")]
+    Refused(u16),
+    /// It cannot have been executed.
+    #[error("not sent: {0}")]
+    NotSent(std::io::Error),
+    /// It may have been executed, or may still be.
+    #[error("outcome unknown: {0}")]
+    Unknown(String),
+    /// The lease is gone.
+    #[error("no such lease")]
+    NoLease,
+    /// The watch's start is too old.
+    #[error("too old")]
+    TooOld,
+}
+
+/// What became of a transaction that was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Applied at this revision.
+    Applied(Stamp),
+    /// A condition failed; nothing was changed.
+    Conflict,
+}
+
+/// A client of the state service.
+#[derive(Debug)]
+pub struct StateClient {
+    calls: Client,
+    watch: Client,
+    budget: Budget,
+    started: Instant,
+    last_ok: AtomicU64,
+    last_bad: AtomicU64,
+}
+
+/// An ordinary call's time: users wait 2 to 5 s for theirs, and the slowest
+/// usual answers take a few hundred milliseconds.
+const CALL_TIME: Duration = Duration::from_millis(1500);
+
+impl StateClient {
+    /// A client of the service at `addr` within `budget`.
+    pub fn new(addr: SocketAddr, budget: Budget) -> Self {
+        Self {
+            calls: Client::new(addr, 8),
+            watch: Client::new(addr, 1),
+            budget,
+            started: Instant::now(),
+            last_ok: AtomicU64::new(0),
+            last_bad: AtomicU64::new(0),
+        }
+    }
+
+    fn note(&self, ok: bool) {
+        let now = self.started.elapsed().as_millis() as u64 + 1;
+        let slot = if ok { &self.last_ok } else { &self.last_bad };
+        slot.fetch_max(now, Ordering::Relaxed);
+    }
+
+    /// Whether the newest answer was a good one.
+    pub fn answers(&self) -> bool {
+        let ok = self.last_ok.load(Ordering::Relaxed);
+        ok > 0 && ok >= self.last_bad.load(Ordering::Relaxed)
+    }
+
+    /// Takes tokens; classes that can wait do so, briefly.
+    fn take(&self, class: Class, writes: u32) -> Result<(), StateError> {
+        let patience = match class {
+            Class::Lease | Class::Owner => Duration::from_secs(3),
+            Class::User => Duration::ZERO,
+            Class::House => Duration::from_secs(1),
+        };
+        let end = Instant::now() + patience;
+        loop {
+            match self.budget.take(class, writes) {
+                Ok(()) => return Ok(()),
+                Err(wait) if Instant::now() + wait > end => return Err(StateError::Budget(wait)),
+                Err(wait) => std::thread::sleep(wait.max(Duration::from_millis(2))),
+            }
+        }
+    }
+
+    fn send(
+        &self,
+        client: &Client,
+        method: &str,
+        path: &str,
+        body: Option<&[u8]>,
+        time: Duration,
+    ) -> Result<Answer, StateError> {
+        let result = client.call(method, path, body, time);
+        // 400 and 404 are answers; 429 and 503 are refusals.
+        self.note(matches!(&result, Ok(a) if a.status < 429));
+        match result {
+            Ok(a) if a.status == 429 || a.status >= 500 => Err(StateError::Refused(a.status)),
+            Ok(a) => Ok(a),
+            Err(Failure::NotSent(e)) => Err(StateError::NotSent(e)),
+            Err(Failure::Unknown(e)) => Err(StateError::Unknown(e.to_string())),
+        }
+    }
+
+    fn read<T: DeserializeOwned>(&self, answer: &Answer) -> Result<T, StateError> {
+        if answer.status != 200 {
+            return Err(StateError::Refused(answer.status));
+        }
+        cbor::decode(&answer.body).map_err(|e| StateError::Unknown(e.to_string()))
+    }
+
+    /// Reads one key.
+    pub fn get(&self, class: Class, key: &str) -> Result<Option<Item>, StateError> {
+        self.take(class, 0)?;
+        let answer = self.send(
+            &self.calls,
+            "GET",
+            &format!("/store/{key}"),
+            None,
+            CALL_TIME,
+        )?;
+        if answer.status == 404 {
+            return Ok(None);
+        }
+        self.read(&answer).map(Some)
+    }
+
+    /// Reads all keys with a prefix, and the revision of the first page: any
+    /// change after it may be missing from later pages.
+    pub fn list(&self, class: Class, prefix: &str) -> Result<(Vec<Item>, u64), StateError> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut ledger = None;
+        loop {
+            self.take(class, 0)?;
+            let after = items
+                .last()
+                .map(|i| format!("&from={}", i.path))
+                .unwrap_or_default();
+            let path = format!("/store?starts={prefix}{after}&page=1000");
+            let answer = self.send(&self.calls, "GET", &path, None, CALL_TIME * 2)?;
+            let page: Page = self.read(&answer)?;
+            ledger.get_or_insert(page.ledger);
+            let empty = page.items.is_empty();
+            items.extend(page.items);
+            if !page.more || empty {
+                return Ok((items, ledger.unwrap_or(0)));
+            }
+        }
+    }
+
+    /// Sends a transaction. Every one must be a compare-and-set, since one
+    /// without an answer may be applied minutes later.
+    pub fn commit(&self, class: Class, commit: &Commit) -> Result<Outcome, StateError> {
+        debug_assert!(commit.is_compare_and_set(), "{commit:?}");
+        self.take(class, commit.changes.len() as u32)?;
+        let body = cbor::encode(commit);
+        let answer = self.send(&self.calls, "POST", "/commit", Some(&body), CALL_TIME)?;
+        match answer.status {
+            200 => Ok(Outcome::Applied(Stamp(
+                self.read::<Revision>(&answer)?.ledger,
+            ))),
+            409 => Ok(Outcome::Conflict),
+            400 if commit.changes.iter().any(|c| {
+                matches!(
+                    c,
+                    pulleywood_wire::state::Change::Write {
+                        permit: Some(_),
+                        ..
+                    }
+                )
+            }) =>
+            {
+                Err(StateError::NoLease)
+            }
+            status => Err(StateError::Refused(status)),
+        }
+    }
+
+    /// Takes a new lease.
+    pub fn grant(&self, ttl: Duration) -> Result<Permit, StateError> {
+        self.take(Class::Lease, 0)?;
+        let body = cbor::encode(&Ttl {
+            ttl_ms: ttl.as_millis() as u64,
+        });
+        let answer = self.send(&self.calls, "POST", "/grants", Some(&body), CALL_TIME)?;
+        Ok(self.read::<Granted>(&answer)?.permit)
+    }
+
+    /// Renews a lease.
+    pub fn renew(&self, permit: Permit, time: Duration) -> Result<(), StateError> {
+        self.take(Class::Lease, 0)?;
+        let path = format!("/grants/{permit}/renew");
+        let empty = cbor::encode(&std::collections::BTreeMap::<String, u64>::new());
+        let answer = self.send(&self.calls, "POST", &path, Some(&empty), time)?;
+        match answer.status {
+            200 => Ok(()),
+            404 => Err(StateError::NoLease),
+            status => Err(StateError::Refused(status)),
+        }
+    }
+
+    /// Ends a lease; one that is already gone counts as ended.
+    pub fn end(&self, permit: Permit) -> Result<(), StateError> {
+        self.take(Class::Lease, 0)?;
+        let path = format!("/grants/{permit}");
+        match self
+            .send(&self.calls, "DELETE", &path, None, CALL_TIME)?
+            .status
+        {
+            200..=299 | 404 => Ok(()),
+            status => Err(StateError::Refused(status)),
+        }
+    }
+
+    /// Waits for changes below a prefix.
+    pub fn follow(
+        &self,
+        class: Class,
+        prefix: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Events, StateError> {
+        self.take(class, 0)?;
+        let path = format!(
+            "/follow?starts={prefix}&from={from}&wait_ms={}",
+            wait.as_millis()
+        );
+        let answer = self.send(
+            &self.watch,
+            "GET",
+            &path,
+            None,
+            wait + Duration::from_secs(3),
+        )?;
+        if answer.status == 410 {
+            return Err(StateError::TooOld);
+        }
+        self.read(&answer)
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/pulleywood-wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! Wire formats of pulleywood: small id types, the bodies of every HTTP
+//! interface, the messages between controllers and the stored records.
+//!
+//! Nothing here does I/O. Field names on the wire follow the published
+//! protocol; inside, the field's standard terms are used.
+
+pub mod cbor;
+pub mod cloud;
+pub mod ids;
+pub mod job;
+pub mod peer;
+pub mod record;
+pub mod settings;
+pub mod state;
+pub mod time;
+pub mod worker;
+
+pub use ids::{Attempt, JobId, MachineId, MemberId, PartId, Permit, Stamp, TaskId, Term};
+pub use job::{JobSpec, JobStatus, Rank, Shape};
+pub use time::Moment;
--- /dev/null
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -0,0 +1,106 @@
+//! Messages between controllers (MessagePack).
+
+use crate::ids::{JobId, MachineId, MemberId, PartId, Term};
+use crate::record::Slots;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A request to another controller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// What this controller knows and needs.
+    Digest(Box<Digest>),
+    /// Give an idle machine to another part.
+    Move(MachineId, PartId),
+    /// Give a machine back to the cloud once it is idle.
+    Retire(MachineId),
+    /// Give up unused slots of these teams down to what is stated.
+    Shrink(PartId, BTreeMap<String, Slots>),
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Taken.
+    Ok,
+    /// Not possible now.
+    No,
+}
+
+/// What one controller tells the others about once a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Who.
+    pub member: MemberId,
+    /// Which process.
+    pub boot: u64,
+    /// The state service answered lately.
+    pub state_ok: bool,
+    /// Ready to take over parts.
+    pub fit: bool,
+    /// Parts it still answers workers for, with their terms.
+    pub serving: Vec<(PartId, Term)>,
+    /// What its parts hold and need.
+    pub parts: Vec<PartDigest>,
+}
+
+/// What one part holds and needs.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct PartDigest {
+    /// The part.
+    pub part: PartId,
+    /// Its owner still rebuilds.
+    pub rebuilding: bool,
+    /// Waiting tasks by shape.
+    pub demand: Vec<Demand>,
+    /// Its machines.
+    pub machines: Vec<MachineDigest>,
+    /// Slots in use by team, unknown ones counted.
+    pub used: BTreeMap<String, Slots>,
+    /// Slots that waiting tasks of limited teams would take.
+    pub wanted: BTreeMap<String, Slots>,
+    /// Running tasks by job, for display.
+    pub running: Vec<(JobId, u32)>,
+}
+
+/// Waiting tasks of one shape.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Processors a task.
+    pub cpus: f64,
+    /// GPUs a task.
+    pub gpus: f64,
+    /// Memory a task.
+    pub memory_gb: f64,
+    /// Allowed types.
+    pub types: Option<Vec<String>>,
+    /// Allowed zones, empty: any.
+    pub zones: Vec<String>,
+    /// May use spot.
+    pub spot: bool,
+    /// Priority.
+    pub rank: crate::job::Rank,
+    /// Seconds of work left a task, as far as known; 0: no end.
+    pub work_s: f64,
+    /// How many.
+    pub count: u32,
+}
+
+/// One machine, for the coordinator.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineDigest {
+    /// Its name.
+    pub machine: MachineId,
+    /// Free processors.
+    pub cpus: f64,
+    /// Free GPUs.
+    pub gpus: f64,
+    /// Free memory.
+    pub memory_gb: f64,
+    /// Seconds without a task; negative while it has some.
+    pub idle_s: f64,
+    /// Seconds since its last answered report; negative before the first.
+    pub silent_s: f64,
+    /// It should be replaced.
+    pub unfit: bool,
+}
--- /dev/null
+++ b/crates/pulleywood-wire/src/record.rs
@@ -0,0 +1,357 @@
+//! Records kept in the state service, and their keys.
+//!
+//! Everything that changes while jobs are live is below `c/`, so that one
+//! watch brings it; final states are below `over/`.
+
+use crate::cbor::Amount;
+use crate::ids::{JobId, MachineId, MemberId, PartId, Term};
+use crate::job::{JobSpec, JobStatus};
+use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Prefix of all that is watched.
+pub const LIVE: &str = "c/";
+/// How many parts there are; stored once.
+pub const LAYOUT: &str = "c/layout";
+/// The shared term counter.
+pub const TERM: &str = "c/term";
+/// The coordinator's role.
+pub const ROLE: &str = "c/role";
+
+/// Key of a part's holder.
+pub fn part_key(p: PartId) -> String {
+    format!("c/part/{p}")
+}
+/// Key of a part's last holder, which outlives the lease.
+pub fn last_key(p: PartId) -> String {
+    format!("c/last/{p}")
+}
+/// Key of a part's grants.
+pub fn grant_key(p: PartId) -> String {
+    format!("c/grant/{p}")
+}
+/// Key of a machine.
+pub fn machine_key(m: &MachineId) -> String {
+    format!("c/machine/{m}")
+}
+/// Prefix of a part's jobs.
+pub fn jobs_prefix(p: PartId) -> String {
+    format!("c/job/{p}/")
+}
+/// Key of a live job.
+pub fn job_key(p: PartId, job: &JobId) -> String {
+    format!("c/job/{p}/{job}")
+}
+/// Key of a continuation of a live job's done tasks.
+pub fn chunk_key(p: PartId, job: &JobId, chunk: u32) -> String {
+    format!("c/job/{p}/{job}/{chunk}")
+}
+/// Key of a job's final state.
+pub fn over_key(job: &JobId) -> String {
+    format!("over/{job}")
+}
+
+/// What a watched key is about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Key {
+    /// The layout.
+    Layout,
+    /// The term counter.
+    Term,
+    /// The coordinator.
+    Role,
+    /// A part's holder.
+    Part(PartId),
+    /// A part's last holder.
+    Last(PartId),
+    /// A part's grants.
+    Grant(PartId),
+    /// A machine.
+    Machine(MachineId),
+    /// A live job (chunk 0) or a continuation.
+    Job(PartId, JobId, u32),
+}
+
+impl Key {
+    /// Parses a key; unknown ones are ignored by their readers.
+    pub fn parse(path: &str) -> Option<Key> {
+        let rest = path.strip_prefix(LIVE)?;
+        let (head, tail) = rest.split_once('/').unwrap_or((rest, ""));
+        let part = || tail.parse().ok().map(PartId);
+        Some(match head {
+            "layout" => Key::Layout,
+            "term" => Key::Term,
+            "role" => Key::Role,
+            "part" => Key::Part(part()?),
+            "last" => Key::Last(part()?),
+            "grant" => Key::Grant(part()?),
+            "machine" => Key::Machine(tail.into()),
+            "job" => {
+                let mut bits = tail.splitn(3, '/');
+                let part = PartId(bits.next()?.parse().ok()?);
+                let job = JobId::parse(bits.next()?)?;
+                let chunk = bits.next().map_or(Some(0), |c| c.parse().ok())?;
+                Key::Job(part, job, chunk)
+            }
+            _ => return None,
+        })
+    }
+}
+
+/// The layout, stored once and never derived anew.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Layout {
+    /// How many parts.
+    pub parts: u32,
+}
+
+/// The term counter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// The last term issued.
+    pub last: Term,
+}
+
+/// Who holds, or last held, a part or the coordinator's role.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The controller.
+    pub member: MemberId,
+    /// Its process; a new one each start.
+    pub boot: u64,
+    /// The term it was taken under.
+    pub term: Term,
+}
+
+/// A machine's record, committed before its first launch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// The part that commands it.
+    pub part: PartId,
+    /// The term it joined that part under.
+    pub term: Term,
+    /// Machine type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+    /// Its worker's address, once known.
+    #[serde(default)]
+    pub endpoint: String,
+    /// To be given back to the cloud; nothing is launched there.
+    #[serde(default)]
+    pub retiring: bool,
+}
+
+/// Amounts of one team's slots.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct Slots {
+    /// Processors.
+    pub cpus: Amount,
+    /// GPUs.
+    pub gpus: Amount,
+}
+
+/// What a part may use of each limited team.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct GrantRecord {
+    /// Rises with every change.
+    pub epoch: u64,
+    /// Slots by team. A missing team has none.
+    pub teams: BTreeMap<String, Slots>,
+}
+
+/// A live job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// What was submitted.
+    pub spec: JobSpec,
+    /// When it was accepted, by the acceptor's time of day.
+    #[serde(default)]
+    pub at_ms: u64,
+    /// Done tasks of the first chunk.
+    #[serde(default)]
+    pub done: String,
+}
+
+/// A continuation of a live job's done tasks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChunkRecord {
+    /// Done tasks of this chunk.
+    pub done: String,
+}
+
+/// A job's final state, kept for ever.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OverRecord {
+    /// Done or cancelled.
+    pub status: JobStatus,
+    /// Tasks done.
+    pub done: u32,
+    /// The team.
+    pub team: String,
+    /// What one task took of its team.
+    pub slots: Slots,
+}
+
+/// How many tasks one record's done set may cover, so that a set of any
+/// pattern stays within the value limit (bits as base64 text).
+pub fn chunk_tasks(value_kb: f64) -> u32 {
+    let room = (value_kb * 1024.0 - 3072.0).max(1024.0);
+    ((room * 6.0) as u32) / 64 * 64
+}
+
+/// A set of task numbers.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct TaskSet {
+    words: Vec<u64>,
+    count: u32,
+}
+
+impl TaskSet {
+    /// An empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// All of `0..n`.
+    pub fn full(n: u32) -> Self {
+        let mut set = Self::new();
+        for i in 0..n {
+            set.insert(i);
+        }
+        set
+    }
+
+    /// Members.
+    pub fn len(&self) -> u32 {
+        self.count
+    }
+
+    /// No member.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Whether `i` is a member.
+    pub fn contains(&self, i: u32) -> bool {
+        self.words
+            .get(i as usize / 64)
+            .is_some_and(|w| w >> (i % 64) & 1 == 1)
+    }
+
+    /// Adds `i`; whether it was new.
+    pub fn insert(&mut self, i: u32) -> bool {
+        let word = i as usize / 64;
+        if self.words.len() <= word {
+            self.words.resize(word + 1, 0);
+        }
+        let new = self.words[word] >> (i % 64) & 1 == 0;
+        self.words[word] |= 1 << (i % 64);
+        self.count += u32::from(new);
+        new
+    }
+
+    /// Removes `i`; whether it was there.
+    pub fn remove(&mut self, i: u32) -> bool {
+        let there = self.contains(i);
+        if there {
+            self.words[i as usize / 64] &= !(1 << (i % 64));
+            self.count -= 1;
+        }
+        there
+    }
+
+    /// Members in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.words.iter().enumerate().flat_map(|(n, &word)| {
+            let mut rest = word;
+            std::iter::from_fn(move || {
+                (rest != 0).then(|| {
+                    let bit = rest.trailing_zeros();
+                    rest &= rest - 1;
+                    n as u32 * 64 + bit
+                })
+            })
+        })
+    }
+
+    /// Text of the members in one chunk: ranges while they are short, else
+    /// the bits as base64.
+    pub fn chunk_text(&self, chunk: u32, size: u32) -> String {
+        use std::fmt::Write;
+        let start = chunk * size;
+        let bitmap_len = size as usize / 6 + 4;
+        let mut text = String::new();
+        let mut run: Option<(u32, u32)> = None;
+        let push = |text: &mut String, (a, b): (u32, u32)| {
+            let sep = if text.is_empty() { "" } else { "," };
+            let _ = if a == b {
+                write!(text, "{sep}{a}")
+            } else {
+                write!(text, "{sep}{a}-{b}")
+            };
+        };
+        for i in self
+            .iter()
+            .skip_while(|&i| i < start)
+            .take_while(|&i| i < start.saturating_add(size))
+        {
+            let i = i - start;
+            match run {
+                Some((a, b)) if b + 1 == i => run = Some((a, i)),
+                Some(r) => {
+                    push(&mut text, r);
+                    run = Some((i, i));
+                }
+                None => run = Some((i, i)),
+            }
+            if text.len() > bitmap_len {
+                break;
+            }
+        }
+        if text.len() <= bitmap_len {
+            if let Some(r) = run {
+                push(&mut text, r);
+            }
+            return text;
+        }
+        let first = start as usize / 64;
+        let words = self.words.get(first..).unwrap_or(&[]);
+        let bytes: Vec<u8> = words
+            .iter()
+            .take(size as usize / 64)
+            .flat_map(|w| w.to_le_bytes())
+            .collect();
+        format!("={}", STANDARD_NO_PAD.encode(bytes))
+    }
+
+    /// Adds a chunk's members; false if the text is malformed.
+    pub fn add_chunk(&mut self, text: &str, chunk: u32, size: u32, tasks: u32) -> bool {
+        let start = u64::from(chunk) * u64::from(size);
+        let add = |set: &mut Self, i: u64| {
+            let sound = start + i < u64::from(tasks);
+            if sound {
+                set.insert((start + i) as u32);
+            }
+            sound
+        };
+        if let Some(bits) = text.strip_prefix('=') {
+            let Ok(bytes) = STANDARD_NO_PAD.decode(bits) else {
+                return false;
+            };
+            return bytes.iter().enumerate().all(|(n, byte)| {
+                (0..8).all(|b| byte >> b & 1 == 0 || add(self, n as u64 * 8 + b))
+            });
+        }
+        text.split(',').filter(|s| !s.is_empty()).all(|run| {
+            let (a, b) = run.split_once('-').unwrap_or((run, run));
+            match (a.parse::<u64>(), b.parse::<u64>()) {
+                (Ok(a), Ok(b)) if a <= b && b < u64::from(size) => (a..=b).all(|i| add(self, i)),
+                _ => false,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-wire/src/settings.rs
@@ -0,0 +1,239 @@
+//! The settings file that the platform hands over.
+
+use serde::{Deserialize, Serialize};
+
+/// All settings.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Settings {
+    /// This controller.
+    pub member: String,
+    /// Its zone.
+    pub domain: String,
+    /// Where users, workers and health checks connect.
+    pub serve_on: String,
+    /// Where other controllers connect.
+    pub cluster_listen: String,
+    /// The other controllers.
+    pub seeds: Vec<Seed>,
+    /// Outside services.
+    pub services: Services,
+    /// What the cluster is like.
+    pub cluster: Cluster,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Seed {
+    /// Its name.
+    pub member: String,
+    /// Its zone.
+    pub domain: String,
+    /// Its cluster address.
+    pub endpoint: String,
+}
+
+/// Addresses of the outside services.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Services {
+    /// The cloud.
+    pub cloud: String,
+    /// The state service.
+    pub state: String,
+}
+
+/// The cluster's settings.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Cluster {
+    /// Controllers at the start.
+    pub initial_size: u32,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// What is expected of each class.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers' timing.
+    pub workers: Workers,
+    /// The state service's limits.
+    pub state: StateLimits,
+    /// The cloud's limits.
+    pub cloud: CloudLimits,
+    /// This process's limits.
+    pub resources: Resources,
+    /// Bound of the time of day.
+    #[serde(default)]
+    pub clock_error_ms: f64,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Guaranteed processors.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most processors.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most GPUs.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim for a class.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Objective {
+    /// What is measured.
+    pub kind: String,
+    /// The class, if it is about one.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Time allowed.
+    #[serde(default)]
+    pub within_s: f64,
+    /// Share expected.
+    #[serde(default)]
+    pub share: f64,
+}
+
+/// Workers' timing.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Workers {
+    /// Between reports.
+    pub report_s: f64,
+    /// A worker's lease.
+    pub lease_s: f64,
+    /// Time for a cancellation.
+    pub cancel_s: f64,
+}
+
+/// The state service's limits.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StateLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Changes a second.
+    pub write_rps: f64,
+    /// KiB a value.
+    pub value_kb: f64,
+    /// Changes a transaction.
+    pub txn_ops: u32,
+}
+
+/// The cloud's limits.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CloudLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// How far lists lag.
+    pub list_lag_s: f64,
+}
+
+/// This process's limits.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Resources {
+    /// Share of a core.
+    pub cores: f64,
+    /// Memory.
+    pub ram_mb: f64,
+    /// Sockets.
+    pub max_sockets: u32,
+}
+
+/// A setting that cannot be used.
+#[derive(Debug, thiserror::Error)]
+#[error("{path}: {what}")]
+pub struct Wrong {
+    /// Where in the file.
+    pub path: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl Settings {
+    /// Checks what types alone cannot.
+    pub fn check(&self) -> Result<(), Wrong> {
+        let wrong = |path: &str, what: &str| {
+            Err(Wrong {
+                path: path.into(),
+                what: what.into(),
+            })
+        };
+        let c = &self.cluster;
+        if self.member.is_empty() {
+            return wrong("member", "must not be empty");
+        }
+        let addresses = [
+            ("serve_on", &self.serve_on),
+            ("cluster_listen", &self.cluster_listen),
+            ("services.cloud", &self.services.cloud),
+            ("services.state", &self.services.state),
+        ];
+        for (path, text) in addresses {
+            if text.parse::<std::net::SocketAddr>().is_err() {
+                return wrong(path, "must be an IP address and a port");
+            }
+        }
+        for (i, seed) in self.seeds.iter().enumerate() {
+            if seed.endpoint.parse::<std::net::SocketAddr>().is_err() {
+                return wrong(
+                    &format!("seeds[{i}].endpoint"),
+                    "must be an IP address and a port",
+                );
+            }
+        }
+        let positive = [
+            ("cluster.workers.report_s", c.workers.report_s),
+            ("cluster.workers.lease_s", c.workers.lease_s),
+            ("cluster.workers.cancel_s", c.workers.cancel_s),
+            ("cluster.state.rps", c.state.rps),
+            ("cluster.state.write_rps", c.state.write_rps),
+            ("cluster.state.value_kb", c.state.value_kb),
+            ("cluster.cloud.rps", c.cloud.rps),
+            ("cluster.resources.cores", c.resources.cores),
+            ("cluster.resources.ram_mb", c.resources.ram_mb),
+        ];
+        for (path, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return wrong(path, "must be a positive number");
+            }
+        }
+        if !c.cloud.list_lag_s.is_finite() || c.cloud.list_lag_s < 0.0 {
+            return wrong("cluster.cloud.list_lag_s", "must not be negative");
+        }
+        if c.state.value_kb < 4.0 {
+            return wrong("cluster.state.value_kb", "must be at least 4");
+        }
+        if c.state.txn_ops < 8 {
+            return wrong("cluster.state.txn_ops", "must be at least 8");
+        }
+        if c.resources.max_sockets < 32 {
+            return wrong("cluster.resources.max_sockets", "must be at least 32");
+        }
+        if c.initial_size == 0 {
+            return wrong("cluster.initial_size", "must be at least 1");
+        }
+        for (i, team) in c.teams.iter().enumerate() {
+            let amounts = [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ];
+            for (name, value) in amounts {
+                if !value.is_finite() || value < 0.0 {
+                    return wrong(
+                        &format!("cluster.teams[{i}].{name}"),
+                        "must not be negative",
+                    );
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-wire/src/state.rs
@@ -0,0 +1,168 @@
+//! Messages to and from the state service.
+
+use crate::cbor::Value;
+use crate::ids::{Permit, Stamp};
+use serde::{Deserialize, Serialize};
+
+/// One key as read.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Item {
+    /// The key.
+    pub path: String,
+    /// Its value.
+    pub value: Value,
+    /// Revision of its last change.
+    pub stamp: Stamp,
+    /// The lease it is attached to.
+    #[serde(default)]
+    pub permit: Option<Permit>,
+}
+
+/// A page of keys.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Page {
+    /// Keys in order.
+    pub items: Vec<Item>,
+    /// More follow.
+    pub more: bool,
+    /// The store's revision.
+    pub ledger: u64,
+}
+
+/// A condition: the key has this stamp (0: it does not exist).
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Condition {
+    /// The key.
+    pub path: String,
+    /// Its expected stamp.
+    pub stamp: Stamp,
+}
+
+/// One change.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// Write a key.
+    Write {
+        /// The key.
+        write: String,
+        /// Its new value.
+        value: Value,
+        /// Lease to attach it to; absent detaches.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        permit: Option<Permit>,
+    },
+    /// Delete a key.
+    Delete {
+        /// The key.
+        delete: String,
+    },
+}
+
+/// A transaction.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Commit {
+    /// All must hold.
+    #[serde(rename = "if")]
+    pub conditions: Vec<Condition>,
+    /// Changes made together.
+    #[serde(rename = "apply")]
+    pub changes: Vec<Change>,
+}
+
+impl Commit {
+    /// Adds the condition that `path` has `stamp`.
+    pub fn when(mut self, path: impl Into<String>, stamp: Stamp) -> Self {
+        let path = path.into();
+        if !self.conditions.iter().any(|c| c.path == path) {
+            self.conditions.push(Condition { path, stamp });
+        }
+        self
+    }
+
+    /// Adds a write.
+    pub fn write<T: Serialize>(mut self, path: impl Into<String>, value: &T) -> Self {
+        self.changes.push(Change::Write {
+            write: path.into(),
+            value: crate::cbor::to_value(value),
+            permit: None,
+        });
+        self
+    }
+
+    /// Adds a write attached to a lease.
+    pub fn hold<T: Serialize>(mut self, path: impl Into<String>, value: &T, permit: Permit) -> Self {
+        self.changes.push(Change::Write {
+            write: path.into(),
+            value: crate::cbor::to_value(value),
+            permit: Some(permit),
+        });
+        self
+    }
+
+    /// Adds a deletion.
+    pub fn delete(mut self, path: impl Into<String>) -> Self {
+        self.changes.push(Change::Delete {
+            delete: path.into(),
+        });
+        self
+    }
+
+    /// Whether every key it changes is also compared: the rule for all
+    /// transactions, since a timed-out one may be applied minutes later.
+    pub fn is_compare_and_set(&self) -> bool {
+        self.changes.iter().all(|change| {
+            let key = match change {
+                Change::Write { write, .. } => write,
+                Change::Delete { delete } => delete,
+            };
+            self.conditions.iter().any(|c| &c.path == key)
+        })
+    }
+}
+
+/// The store's revision.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Revision {
+    /// Counts all changes.
+    pub ledger: u64,
+}
+
+/// A new lease's length.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Ttl {
+    /// Milliseconds.
+    pub ttl_ms: u64,
+}
+
+/// A lease.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Granted {
+    /// Its number.
+    pub permit: Permit,
+}
+
+/// One watched change.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Event {
+    /// The key, if it was written.
+    #[serde(default)]
+    pub write: Option<String>,
+    /// The key, if it was deleted.
+    #[serde(default)]
+    pub delete: Option<String>,
+    /// The new value.
+    #[serde(default)]
+    pub value: Option<Value>,
+    /// The revision.
+    pub stamp: Stamp,
+}
+
+/// Answer of a watch.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Events {
+    /// The store's revision.
+    pub ledger: u64,
+    /// The changes.
+    pub events: Vec<Event>,
+}
--- /dev/null
+++ b/crates/pulleywood-wire/src/worker.rs
@@ -0,0 +1,158 @@
+//! Messages between workers and controllers.
+
+use crate::cbor::Amount;
+use crate::ids::{Attempt, MachineId, TaskId, Term};
+use serde::{Deserialize, Serialize};
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The machine.
+    #[serde(rename = "horse")]
+    pub machine: MachineId,
+    /// Where the worker listens.
+    pub endpoint: String,
+    /// Machine type.
+    #[serde(rename = "rig")]
+    pub flavor: String,
+    /// Zone.
+    #[serde(rename = "yard")]
+    pub zone: String,
+    /// Spot machine.
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    /// Session: rises when the worker's lease expires.
+    #[serde(rename = "shift")]
+    pub session: u64,
+    /// Rises with every report and every reply.
+    #[serde(rename = "tally")]
+    pub seq: u64,
+    /// Highest term seen.
+    #[serde(rename = "baton")]
+    pub term: Term,
+    /// Seconds until the cloud takes the machine.
+    #[serde(rename = "recall_s", default)]
+    pub notice_s: Option<Amount>,
+    /// All tasks on the machine.
+    #[serde(rename = "legs")]
+    pub tasks: Vec<TaskReport>,
+}
+
+/// One task in a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// The task.
+    #[serde(rename = "leg")]
+    pub task: TaskId,
+    /// Its attempt.
+    #[serde(rename = "try")]
+    pub attempt: Attempt,
+    /// Where it stands.
+    #[serde(rename = "status")]
+    pub state: TaskState,
+    /// Why it ended.
+    #[serde(default)]
+    pub cause: Option<Cause>,
+    /// Progress was saved when it was stopped.
+    #[serde(default)]
+    pub stored: Option<bool>,
+}
+
+/// A task's state on its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Saving after a halt.
+    Saving,
+    /// Ended.
+    Exited,
+}
+
+/// Why a task exited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Halted by command.
+    Stopped,
+    /// Failed.
+    Error,
+    /// Not enough free room on the machine.
+    NoRoom,
+    /// Another attempt of the task is on the machine.
+    Busy,
+    /// No such job.
+    NoSuch,
+    /// A cause this version does not know.
+    #[serde(other)]
+    Other,
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "snake_case")]
+pub enum Order {
+    /// Start a task. Only ever sent in the answer to a report.
+    Launch {
+        /// The task.
+        leg: TaskId,
+        /// The attempt.
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+    /// Stop a task.
+    Halt {
+        /// The task.
+        leg: TaskId,
+        /// The attempt.
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        /// Time it may take to save.
+        leeway_s: f64,
+    },
+    /// Forget an exited task.
+    Clear {
+        /// The task.
+        leg: TaskId,
+        /// The attempt.
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+/// The answer to a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// The term under which the orders are given.
+    #[serde(rename = "baton")]
+    pub term: Term,
+    /// The orders.
+    pub orders: Vec<Order>,
+}
+
+/// Where a worker should report instead.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Redirect {
+    /// The controller, if known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub foreman: Option<crate::ids::MemberId>,
+}
+
+/// A command sent straight to a worker. It can be executed minutes late, so
+/// its type holds no launch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Direct {
+    /// The term.
+    #[serde(rename = "baton")]
+    pub term: Term,
+    /// The session it is meant for.
+    #[serde(rename = "shift")]
+    pub session: u64,
+    /// Halts and clears.
+    pub orders: Vec<Order>,
+}
--- /dev/null
+++ b/crates/pulleywood/src/controller.rs
@@ -0,0 +1,184 @@
+//! One controller, assembled.
+
+use crate::clock::Clock;
+use crate::node::{Finals, Node, Shared};
+use crate::{coordinator, follow, owner, peers, users, workers};
+use parking_lot::{Condvar, Mutex};
+use pulleywood_core::Config;
+use pulleywood_core::config::Policy;
+use pulleywood_net::peer::PeerClient;
+use pulleywood_net::server::{self, Handler, Request, Response};
+use pulleywood_net::{Budget, CloudClient, StateClient};
+use pulleywood_wire::MemberId;
+use pulleywood_wire::settings::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const STACK: usize = 256 * 1024;
+/// Share of the published rates that all controllers use together: lates and
+/// bunched packets need the rest.
+const RATE_SHARE: f64 = 0.9;
+
+/// Why a controller cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address in the settings is not one.
+    #[error("{0}: not an address")]
+    Address(String),
+    /// A socket cannot be opened or a thread not started.
+    #[error("{0}: {1}")]
+    Io(String, std::io::Error),
+}
+
+/// A running controller.
+pub struct Controller {
+    shared: Arc<Shared>,
+    serve_on: SocketAddr,
+}
+
+fn address(text: &str) -> Result<SocketAddr, StartError> {
+    text.parse()
+        .map_err(|_| StartError::Address(text.to_owned()))
+}
+
+impl Controller {
+    /// Starts all threads of a controller and returns at once.
+    pub fn start(settings: Settings, policy: Policy) -> Result<Controller, StartError> {
+        let cluster = &settings.cluster;
+        let members = (settings.seeds.len() + 1) as f64;
+        let share = RATE_SHARE / members;
+        let state = StateClient::new(
+            address(&settings.services.state)?,
+            Budget::new(
+                cluster.state.rps * share,
+                cluster.state.write_rps * share,
+                1.0,
+            ),
+        );
+        // Machine types are read by each controller; all else is the
+        // coordinator's, which may use most of the rate.
+        let cloud = CloudClient::new(
+            address(&settings.services.cloud)?,
+            Budget::new(cluster.cloud.rps * share, cluster.cloud.rps * share, 2.0),
+        );
+        let peers = settings
+            .seeds
+            .iter()
+            .map(|s| {
+                let client = PeerClient::new(address(&s.endpoint)?);
+                Ok((MemberId::from(s.member.as_str()), client))
+            })
+            .collect::<Result<_, StartError>>()?;
+        let config = Config::new(&settings, policy);
+        let shared = Arc::new(Shared {
+            me: settings.member.as_str().into(),
+            boot: fastrand::u64(1..1 << 53),
+            clock: Clock::new(),
+            state,
+            cloud,
+            peers,
+            node: Mutex::new(Node::new(config)),
+            bell: Condvar::new(),
+            finals: Mutex::new(Finals::default()),
+            settings,
+        });
+        let sockets = shared.settings.cluster.resources.max_sockets as usize;
+        // A connection's thread touches some tens of KB.
+        let by_memory = (shared.settings.cluster.resources.ram_mb * 6.0) as usize;
+        let most = (sockets * 3 / 4).min(by_memory).max(16);
+        let peer_listen = address(&shared.settings.cluster_listen)?;
+        let io = |what: &str| {
+            let what = what.to_owned();
+            move |e| StartError::Io(what, e)
+        };
+        let own = Arc::clone(&shared);
+        pulleywood_net::peer::serve(peer_listen, 32, move |ask| peers::answer(&own, ask))
+            .map_err(io("cluster_listen"))?;
+        let serve_on = address(&shared.settings.serve_on)?;
+        let serve_on = server::serve(serve_on, most, Front(Arc::clone(&shared)))
+            .map_err(io("serve_on"))?;
+        let threads: [(&str, fn(&Arc<Shared>)); 5] = [
+            ("follow", follow::run),
+            ("renew", owner::renew),
+            ("parts", owner::hold_parts),
+            ("flush", owner::flush),
+            ("fleet", coordinator::run),
+        ];
+        for (name, body) in threads {
+            spawn(name, &shared, body).map_err(io("thread"))?;
+        }
+        for peer in shared.peers.keys().cloned().collect::<Vec<_>>() {
+            spawn("tell", &shared, move |s| peers::tell(s, &peer)).map_err(io("thread"))?;
+        }
+        log::info!("{} serves on {serve_on}", shared.me);
+        Ok(Controller { shared, serve_on })
+    }
+
+    /// Where users and workers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.serve_on
+    }
+
+    /// Whether it can take requests.
+    pub fn is_ready(&self) -> bool {
+        users::ready(&self.shared).status == 200
+    }
+}
+
+fn spawn(
+    name: &str,
+    shared: &Arc<Shared>,
+    body: impl FnOnce(&Arc<Shared>) + Send + 'static,
+) -> std::io::Result<()> {
+    let shared = Arc::clone(shared);
+    std::thread::Builder::new()
+        .name(name.into())
+        .stack_size(STACK)
+        .spawn(move || body(&shared))
+        .map(|_| ())
+}
+
+/// Routes HTTP requests.
+struct Front(Arc<Shared>);
+
+impl Handler for Front {
+    fn handle(&self, request: &Request<'_>) -> Response {
+        let shared = &self.0;
+        let (path, post) = (request.path, request.method == "POST");
+        let not = |allow| Response {
+            status: 405,
+            allow: Some(allow),
+            ..Response::default()
+        };
+        if path == "/v1/report" {
+            return match post {
+                true => workers::report(shared, request.body),
+                false => not("POST"),
+            };
+        }
+        if path == "/ready" {
+            return match request.method {
+                "GET" | "HEAD" => users::ready(shared),
+                _ => not("GET"),
+            };
+        }
+        if path == "/v2/runs" {
+            return match post {
+                true => users::submit(shared, request.body),
+                false => not("POST"),
+            };
+        }
+        let Some(rest) = path.strip_prefix("/v2/runs/") else {
+            return Response::status(404);
+        };
+        match rest.split_once('/') {
+            None if request.method == "GET" => users::poll(shared, rest),
+            None => not("GET"),
+            Some((id, "cancel")) => match post {
+                true => users::cancel(shared, id),
+                false => not("POST"),
+            },
+            Some(_) => Response::status(404),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleywood/src/coordinator.rs
@@ -0,0 +1,468 @@
+//! The coordinator's role: grants over parts, and the fleet.
+
+use crate::node::{Shared, read};
+use pulleywood_core::Config;
+use pulleywood_core::fleet::{self, Action, Kind, Memory, Seen};
+use pulleywood_core::grants::{self, Need, Step};
+use pulleywood_net::cloud::CloudError;
+use pulleywood_net::state::Outcome;
+use pulleywood_net::{Class, StateError};
+use pulleywood_wire::cloud::{Hire, Rental};
+use pulleywood_wire::peer::Ask;
+use pulleywood_wire::record::{
+    Holder, MachineRecord, ROLE, Slots, TERM, TermRecord, grant_key, machine_key, part_key,
+};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::time::secs;
+use pulleywood_wire::{MachineId, Moment, PartId, Stamp, Term};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+const ROUND: Duration = Duration::from_millis(1000);
+const ASK_TIME: Duration = Duration::from_secs(3);
+/// Machine types and prices are read again this often.
+const FLAVORS_EVERY: Duration = Duration::from_secs(120);
+
+/// A rental request without a definite answer yet.
+struct Pending {
+    hire: Hire,
+    part: PartId,
+}
+
+struct Office {
+    term: Term,
+    stamp: Stamp,
+    hires: u64,
+    pending: Vec<Pending>,
+    memory: Memory,
+    list: Vec<Rental>,
+    listed_at: Option<Moment>,
+    /// Machines released lately: lists still show them for a while.
+    released: HashMap<MachineId, Moment>,
+}
+
+/// Runs for the life of the process; acts while this controller has the role.
+pub fn run(shared: &Arc<Shared>) {
+    learn_flavors(shared);
+    let mut learned = shared.clock.now();
+    let mut office: Option<Office> = None;
+    loop {
+        std::thread::sleep(ROUND.mul_f64(0.9 + 0.2 * fastrand::f64()));
+        let now = shared.clock.now();
+        if now.since(learned) > FLAVORS_EVERY {
+            learned = now;
+            if let Ok(flavors) = shared.cloud.flavors() {
+                set_flavors(shared, flavors);
+            }
+        }
+        match hold_role(shared) {
+            Ok(Some((term, stamp))) => {
+                if office.as_ref().is_none_or(|o| o.term != term) {
+                    log::info!("coordinator under term {term}");
+                    office = Some(Office {
+                        term,
+                        stamp,
+                        hires: 0,
+                        pending: Vec::new(),
+                        memory: Memory::default(),
+                        list: Vec::new(),
+                        listed_at: None,
+                        released: HashMap::new(),
+                    });
+                }
+            }
+            Ok(None) => office = None,
+            Err(e) => {
+                log::debug!("role: {e}");
+                continue;
+            }
+        }
+        if let Some(office) = &mut office {
+            balance(shared, office);
+            fleet_round(shared, office);
+        }
+    }
+}
+
+fn set_flavors(shared: &Shared, flavors: Vec<pulleywood_wire::cloud::Flavor>) {
+    let mut node = shared.node.lock();
+    let mut config: Config = (*node.config).clone();
+    config.flavors = flavors.into_iter().map(|f| (f.label.clone(), f)).collect();
+    node.config = Arc::new(config);
+}
+
+/// Jobs cannot be judged before the machine types are known.
+fn learn_flavors(shared: &Shared) {
+    loop {
+        match shared.cloud.flavors() {
+            Ok(flavors) if !flavors.is_empty() => {
+                log::info!("{} machine types", flavors.len());
+                set_flavors(shared, flavors);
+                shared.bell.notify_all();
+                return;
+            }
+            Ok(_) => log::error!("the cloud offers no machine type"),
+            Err(e) => log::debug!("machine types: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(700));
+    }
+}
+
+/// Keeps or takes the role; its term makes request names unique for ever.
+fn hold_role(shared: &Shared) -> Result<Option<(Term, Stamp)>, StateError> {
+    let now = shared.clock.now();
+    let (permit, role) = {
+        let node = shared.node.lock();
+        if !node.may_act(now) || node.owned.is_empty() {
+            return Ok(None);
+        }
+        (node.lease.permit, node.view.role.clone())
+    };
+    let Some(permit) = permit else {
+        return Ok(None);
+    };
+    if let Some((holder, stamp)) = &role {
+        let mine = holder.member == shared.me && holder.boot == shared.boot;
+        return Ok(mine.then_some((holder.term, *stamp)));
+    }
+    let item = shared.state.get(Class::Owner, TERM)?;
+    let Some((last, term_stamp)) = item.and_then(|i| {
+        read::<TermRecord>(Some(&i.value), TERM).map(|r| (r.last, i.stamp))
+    }) else {
+        return Ok(None);
+    };
+    let term = Term(last.0 + 1);
+    let holder = Holder {
+        member: shared.me.clone(),
+        boot: shared.boot,
+        term,
+    };
+    let commit = Commit::default()
+        .when(ROLE, Stamp(0))
+        .when(TERM, term_stamp)
+        .hold(ROLE, &holder, permit)
+        .write(TERM, &TermRecord { last: term });
+    match shared.state.commit(Class::Owner, &commit)? {
+        Outcome::Applied(stamp) => {
+            shared.node.lock().view.role = Some((holder, stamp));
+            Ok(Some((term, stamp)))
+        }
+        Outcome::Conflict => Ok(None),
+    }
+}
+
+/// An owner's side of a shrink: commits the smaller grant, never below use.
+pub fn shrink(shared: &Arc<Shared>, part: PartId, to: &BTreeMap<String, Slots>) -> bool {
+    let now = shared.clock.now();
+    let prepared = {
+        let mut node = shared.node.lock();
+        if !node.may_act(now) {
+            return false;
+        }
+        let config = Arc::clone(&node.config);
+        let stored = node.view.grants.get(&part).cloned();
+        let Some(owned) = node.owned.get_mut(&part).filter(|o| o.loaded) else {
+            return false;
+        };
+        let Some((record, stamp)) = stored else {
+            return false;
+        };
+        let used = owned.ledger.used(&config);
+        let Some(next) = grants::shrunk(&record, to, &used) else {
+            return false;
+        };
+        // In force here before it is committed: never the other way round.
+        owned.ledger.grants = next.clone();
+        owned.ledger.disturb();
+        (next, stamp, owned.stamp)
+    };
+    let (next, stamp, part_stamp) = prepared;
+    let key = grant_key(part);
+    let commit = Commit::default()
+        .when(key.clone(), stamp)
+        .when(part_key(part), part_stamp)
+        .write(key, &next);
+    match shared.state.commit(Class::Owner, &commit) {
+        Ok(Outcome::Applied(stamp)) => {
+            shared.node.lock().put_grant(part, next, stamp);
+            true
+        }
+        // The smaller one stays in force here until an event says otherwise.
+        Ok(Outcome::Conflict) | Err(_) => false,
+    }
+}
+
+fn balance(shared: &Arc<Shared>, office: &Office) {
+    let now = shared.clock.now();
+    let (step, stored) = {
+        let node = shared.node.lock();
+        let parts = node.view.layout.map_or(0, |l| l.parts);
+        if node.view.grants.len() < parts as usize || parts == 0 {
+            return;
+        }
+        let stored = node.view.grants.clone();
+        let records = stored.iter().map(|(p, (r, _))| (*p, r.clone())).collect();
+        let needs = node
+            .all_parts(now)
+            .into_iter()
+            .map(|(p, digest)| {
+                let mut teams: BTreeMap<String, Need> = BTreeMap::new();
+                for (team, used) in digest.used {
+                    teams.entry(team).or_default().used = used;
+                }
+                for (team, wanted) in digest.wanted {
+                    teams.entry(team).or_default().wanted = wanted;
+                }
+                (p, teams)
+            })
+            .collect();
+        (grants::balance(&node.config, &records, &needs), stored)
+    };
+    match step {
+        None => {}
+        Some(Step::Shrink(part, to)) => ask_owner(shared, part, Ask::Shrink(part, to)),
+        Some(Step::Grow(part, record)) => {
+            // On every part's record, so that the sum it rests on still holds.
+            let mut commit = Commit::default().when(ROLE, office.stamp);
+            for (p, (_, stamp)) in &stored {
+                commit = commit.when(grant_key(*p), *stamp);
+            }
+            let commit = commit.write(grant_key(part), &record);
+            match shared.state.commit(Class::Owner, &commit) {
+                Ok(Outcome::Applied(stamp)) => {
+                    log::debug!("part {part} was granted {record:?}");
+                    shared.node.lock().put_grant(part, record, stamp);
+                }
+                Ok(Outcome::Conflict) => {}
+                Err(e) => log::debug!("grant: {e}"),
+            }
+        }
+    }
+}
+
+/// Asks the owner of a part, which may be this controller.
+fn ask_owner(shared: &Arc<Shared>, part: PartId, ask: Ask) {
+    let owner = {
+        let node = shared.node.lock();
+        node.view.parts.get(&part).map(|(h, _)| h.member.clone())
+    };
+    let Some(owner) = owner else { return };
+    if owner == shared.me {
+        crate::peers::answer(shared, ask);
+        return;
+    }
+    if let Some(peer) = shared.peers.get(&owner)
+        && let Err(e) = peer.ask(&ask, ASK_TIME)
+    {
+        log::debug!("{owner}: {e}");
+    }
+}
+
+fn fleet_round(shared: &Arc<Shared>, office: &mut Office) {
+    let now = shared.clock.now();
+    settle_pending(shared, office);
+    let lag = secs(shared.settings.cluster.cloud.list_lag_s);
+    let every = lag.max(Duration::from_secs(3));
+    if office.listed_at.is_none_or(|at| now.since(at) >= every) {
+        match shared.cloud.rentals() {
+            Ok(list) => {
+                office.list = list;
+                office.listed_at = Some(now);
+            }
+            Err(e) => log::debug!("machine list: {e}"),
+        }
+        let keep = lag * 3 + Duration::from_secs(60);
+        office.released.retain(|_, at| now.since(*at) < keep);
+    }
+    let fresh = office
+        .listed_at
+        .is_some_and(|at| now.since(at) < every * 2);
+    let list: Option<Vec<Rental>> = fresh.then(|| {
+        office
+            .list
+            .iter()
+            .filter(|r| !office.released.contains_key(&r.machine))
+            .cloned()
+            .collect()
+    });
+    let actions = {
+        let node = shared.node.lock();
+        // While any part has no owner or an unknown one, its needs are not
+        // known either: nothing is judged by their absence.
+        let parts = node.all_parts(now);
+        let records: BTreeMap<MachineId, MachineRecord> = node
+            .view
+            .machines
+            .iter()
+            .map(|(id, (r, _))| (id.clone(), r.clone()))
+            .collect();
+        let seen = Seen {
+            now,
+            records: &records,
+            parts: &parts,
+            list: list.as_deref(),
+            list_age: office.listed_at.map_or(Duration::MAX, |at| now.since(at)),
+        };
+        fleet::decide(&node.config, &mut office.memory, &seen)
+    };
+    for action in actions {
+        act(shared, office, action);
+    }
+}
+
+fn act(shared: &Arc<Shared>, office: &mut Office, action: Action) {
+    let now = shared.clock.now();
+    match action {
+        Action::Move(machine, from, to) => {
+            log::debug!("moving {machine} from part {from} to {to}");
+            ask_owner(shared, from, Ask::Move(machine, to));
+        }
+        Action::Retire(machine, part) => {
+            log::debug!("retiring {machine} of part {part}");
+            ask_owner(shared, part, Ask::Retire(machine));
+        }
+        Action::Release(machines, why) => {
+            for batch in machines.chunks(100) {
+                release(shared, office, batch, why);
+            }
+        }
+        Action::Hire(kind, count, part) => {
+            office.hires += 1;
+            let hire = Hire {
+                hire: format!("h-{}-{}", office.term, office.hires),
+                rig: kind.flavor,
+                yard: kind.zone,
+                loaner: kind.spot,
+                how_many: count,
+            };
+            hire_now(shared, office, Pending { hire, part }, now);
+        }
+    }
+}
+
+/// Requests whose outcome is unknown are repeated under the same name.
+fn settle_pending(shared: &Arc<Shared>, office: &mut Office) {
+    let now = shared.clock.now();
+    for pending in std::mem::take(&mut office.pending) {
+        hire_now(shared, office, pending, now);
+    }
+}
+
+fn hire_now(shared: &Arc<Shared>, office: &mut Office, pending: Pending, now: Moment) {
+    let hire = &pending.hire;
+    let kind = Kind {
+        flavor: hire.rig.clone(),
+        zone: hire.yard.clone(),
+        spot: hire.loaner,
+    };
+    match shared.cloud.hire(hire) {
+        Ok(machines) => {
+            log::info!(
+                "rented {} of {} {} in {} (spot: {}) for part {}",
+                machines.len(),
+                hire.how_many,
+                hire.rig,
+                hire.yard,
+                hire.loaner,
+                pending.part
+            );
+            if (machines.len() as u32) < hire.how_many {
+                office.memory.refused(&kind, now);
+            } else {
+                office.memory.filled(&kind);
+            }
+            record_machines(shared, office, &machines, &kind, pending.part);
+        }
+        Err(CloudError::NoCapacity) => {
+            log::info!("no capacity for {kind:?}");
+            office.memory.refused(&kind, now);
+        }
+        Err(CloudError::Unknown(e)) => {
+            log::debug!("rental {}: {e}", hire.hire);
+            office.pending.push(pending);
+        }
+        Err(e) => log::debug!("rental {}: {e}", hire.hire),
+    }
+}
+
+/// Records new machines in their part before they are up.
+fn record_machines(
+    shared: &Arc<Shared>,
+    office: &Office,
+    machines: &[MachineId],
+    kind: &Kind,
+    part: PartId,
+) {
+    let record = MachineRecord {
+        part,
+        term: Term(0),
+        flavor: kind.flavor.clone(),
+        zone: kind.zone.clone(),
+        spot: kind.spot,
+        endpoint: String::new(),
+        retiring: false,
+    };
+    let ops = shared.settings.cluster.state.txn_ops as usize;
+    for batch in machines.chunks(ops) {
+        let mut commit = Commit::default().when(ROLE, office.stamp);
+        for id in batch {
+            commit = commit
+                .when(machine_key(id), Stamp(0))
+                .write(machine_key(id), &record);
+        }
+        match shared.state.commit(Class::Owner, &commit) {
+            Ok(Outcome::Applied(stamp)) => {
+                let now = shared.clock.now();
+                let mut node = shared.node.lock();
+                for id in batch {
+                    node.put_machine(id, record.clone(), stamp, now);
+                }
+            }
+            // Their workers' reports will bring them up.
+            other => log::debug!("recording machines: {other:?}"),
+        }
+    }
+}
+
+/// Releases machines; only the cloud's answer proves them gone, and only then
+/// are their records deleted, which sets their tasks free.
+fn release(shared: &Arc<Shared>, office: &mut Office, machines: &[MachineId], why: &str) {
+    if let Err(e) = shared.cloud.release(machines) {
+        log::debug!("release: {e}");
+        return;
+    }
+    log::info!("released {machines:?}: {why}");
+    let now = shared.clock.now();
+    for id in machines {
+        office.released.insert(id.clone(), now);
+    }
+    let stored: Vec<(MachineId, Stamp)> = {
+        let node = shared.node.lock();
+        machines
+            .iter()
+            .filter_map(|id| Some((id.clone(), node.view.machines.get(id)?.1)))
+            .collect()
+    };
+    let ops = shared.settings.cluster.state.txn_ops as usize;
+    for batch in stored.chunks(ops) {
+        let mut commit = Commit::default().when(ROLE, office.stamp);
+        for (id, stamp) in batch {
+            commit = commit
+                .when(machine_key(id), *stamp)
+                .delete(machine_key(id));
+        }
+        match shared.state.commit(Class::Owner, &commit) {
+            Ok(Outcome::Applied(_)) => {
+                let mut node = shared.node.lock();
+                for (id, _) in batch {
+                    node.view.machines.remove(id);
+                    for owned in node.owned.values_mut() {
+                        owned.ledger.drop_machine(id);
+                    }
+                }
+            }
+            other => log::debug!("deleting machines: {other:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleywood/src/lib.rs
@@ -0,0 +1,19 @@
+//! pulleywood: a cluster scheduler.
+//!
+//! Each controller owns a part of the jobs and machines under a fenced lease
+//! of the state service. [`Controller::start`] assembles one; the binary of
+//! the same name runs it as a daemon.
+
+mod clock;
+mod controller;
+mod coordinator;
+mod follow;
+mod node;
+mod owner;
+mod peers;
+pub mod policy;
+pub mod settings;
+mod users;
+mod workers;
+
+pub use controller::{Controller, StartError};
--- /dev/null
+++ b/crates/pulleywood/src/node.rs
@@ -0,0 +1,403 @@
+//! What one controller knows, behind one short lock.
+
+use crate::clock::Clock;
+use parking_lot::{Condvar, Mutex};
+use pulleywood_core::{Config, PartLedger};
+use pulleywood_net::peer::PeerClient;
+use pulleywood_net::{CloudClient, StateClient};
+use pulleywood_wire::peer::{Digest, PartDigest};
+use pulleywood_wire::record::{
+    GrantRecord, Holder, JobRecord, Key, Layout, MachineRecord, OverRecord, TermRecord,
+};
+use pulleywood_wire::settings::Settings;
+use pulleywood_wire::state::Event;
+use pulleywood_wire::time::{secs, surely_within};
+use pulleywood_wire::{JobId, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term, cbor};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Everything the threads of one controller share.
+pub struct Shared {
+    /// The platform's settings.
+    pub settings: Settings,
+    /// This controller.
+    pub me: MemberId,
+    /// This process.
+    pub boot: u64,
+    /// Its clock.
+    pub clock: Clock,
+    /// The state service.
+    pub state: StateClient,
+    /// The cloud.
+    pub cloud: CloudClient,
+    /// The other controllers.
+    pub peers: BTreeMap<MemberId, PeerClient>,
+    /// What it knows. Never held across I/O.
+    pub node: Mutex<Node>,
+    /// Rung when the owner's threads have something to do.
+    pub bell: Condvar,
+    /// Final states told or read, kept for later polls.
+    pub finals: Mutex<Finals>,
+}
+
+/// A bounded memory of final states, which never change.
+#[derive(Default)]
+pub struct Finals {
+    known: HashMap<JobId, OverRecord>,
+    order: VecDeque<JobId>,
+}
+
+const MAX_FINALS: usize = 5000;
+
+impl Finals {
+    /// Remembers one.
+    pub fn put(&mut self, id: &JobId, over: OverRecord) {
+        if self.known.insert(id.clone(), over).is_none() {
+            self.order.push_back(id.clone());
+        }
+        if self.order.len() > MAX_FINALS
+            && let Some(old) = self.order.pop_front()
+        {
+            self.known.remove(&old);
+        }
+    }
+
+    /// Looks one up.
+    pub fn get(&self, id: &JobId) -> Option<OverRecord> {
+        self.known.get(id).cloned()
+    }
+}
+
+/// The lease that all keys held by this controller are attached to.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Lease {
+    /// Its number, once taken.
+    pub permit: Option<Permit>,
+    /// When the last successful renewal was sent.
+    pub renewed: Moment,
+}
+
+/// A copy of the watched keys, as new as the last watch.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Revision up to which it is complete.
+    pub ledger: u64,
+    /// How many parts.
+    pub layout: Option<Layout>,
+    /// The term counter.
+    pub term: (Term, Stamp),
+    /// The coordinator.
+    pub role: Option<(Holder, Stamp)>,
+    /// Parts' holders.
+    pub parts: BTreeMap<PartId, (Holder, Stamp)>,
+    /// Since when a part has had no holder here.
+    pub free_since: BTreeMap<PartId, Moment>,
+    /// Parts' last holders.
+    pub last: BTreeMap<PartId, (Holder, Stamp)>,
+    /// Parts' grants.
+    pub grants: BTreeMap<PartId, (GrantRecord, Stamp)>,
+    /// All machines.
+    pub machines: BTreeMap<MachineId, (MachineRecord, Stamp)>,
+}
+
+/// A part this controller holds.
+pub struct Owned {
+    /// What it knows of it.
+    pub ledger: PartLedger,
+    /// Stamp of the part's key.
+    pub stamp: Stamp,
+    /// Read in full; until then events are kept back.
+    pub loaded: bool,
+    /// Events that came while it was being read.
+    pub held: Vec<Event>,
+    /// Being handed to another controller: nothing is launched.
+    pub leaving: bool,
+    /// The holder before, and when this process took over.
+    pub before: Option<Holder>,
+}
+
+/// What one controller knows.
+pub struct Node {
+    /// Settings of the decisions.
+    pub config: Arc<Config>,
+    /// The watched keys.
+    pub view: View,
+    /// The view was read once.
+    pub viewed: bool,
+    /// The lease.
+    pub lease: Lease,
+    /// The view is surely as new as this moment.
+    pub caught_up: Moment,
+    /// Parts held.
+    pub owned: BTreeMap<PartId, Owned>,
+    /// Others' digests and when they came.
+    pub digests: BTreeMap<MemberId, (Digest, Moment)>,
+}
+
+impl Shared {
+    /// Length of the lease.
+    pub fn ttl(&self, node: &Node) -> Duration {
+        secs(node.config.policy.part_lease_s)
+    }
+
+    /// The digest this controller sends.
+    pub fn digest(&self) -> Digest {
+        let now = self.clock.now();
+        let state_ok = self.state.answers();
+        let node = self.node.lock();
+        Digest {
+            member: self.me.clone(),
+            boot: self.boot,
+            state_ok,
+            fit: node.viewed && node.lease.permit.is_some() && state_ok,
+            serving: if node.may_answer(now) {
+                node.owned
+                    .iter()
+                    .map(|(p, o)| (*p, o.ledger.term))
+                    .collect()
+            } else {
+                Vec::new()
+            },
+            parts: node.part_digests(now),
+        }
+    }
+}
+
+impl Node {
+    /// An empty one.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config: Arc::new(config),
+            view: View::default(),
+            viewed: false,
+            lease: Lease::default(),
+            caught_up: Moment::default(),
+            owned: BTreeMap::new(),
+            digests: BTreeMap::new(),
+        }
+    }
+
+    /// The local end of the lease: counted from before the renewal was sent,
+    /// less drift and margin, so that it lies before the store's.
+    pub fn lease_end(&self) -> Moment {
+        match self.lease.permit {
+            Some(_) => self.lease.renewed + surely_within(secs(self.config.policy.part_lease_s)),
+            None => Moment::default(),
+        }
+    }
+
+    /// Launches, writes and grants are allowed.
+    pub fn may_act(&self, now: Moment) -> bool {
+        now < self.lease_end() && self.may_answer(now)
+    }
+
+    /// Workers may be answered: a cancellation told elsewhere since the last
+    /// contact is still obeyed in time, as they lapse within their lease.
+    pub fn may_answer(&self, now: Moment) -> bool {
+        let contact = self.lease.renewed.min(self.caught_up);
+        self.viewed && now < contact + self.config.answer_span()
+    }
+
+    /// Digests of the parts held here.
+    pub fn part_digests(&self, now: Moment) -> Vec<PartDigest> {
+        self.owned
+            .values()
+            .filter(|o| o.loaded)
+            .map(|o| o.ledger.digest(now, &self.config))
+            .collect()
+    }
+
+    /// All fresh digests of owned parts, this controller's included.
+    pub fn all_parts(&self, now: Moment) -> BTreeMap<PartId, PartDigest> {
+        let mut all: BTreeMap<PartId, PartDigest> = self
+            .digests
+            .values()
+            .filter(|(_, at)| now.since(*at) < Duration::from_secs(4))
+            .flat_map(|(d, _)| d.parts.iter().cloned())
+            .map(|p| (p.part, p))
+            .collect();
+        all.extend(self.part_digests(now).into_iter().map(|p| (p.part, p)));
+        all
+    }
+
+    /// Another controller's digest came.
+    pub fn take_digest(&mut self, digest: Digest, now: Moment) {
+        let lapsed = self.config.surely_lapsed();
+        for (part, owned) in &mut self.owned {
+            // The old owner says that it no longer answers workers under the
+            // old term, or its process has ended: what it answered last has
+            // lapsed a lease from now.
+            if let Some(before) = &owned.before
+                && before.member == digest.member
+                && !digest.serving.contains(&(*part, before.term))
+            {
+                let until = now + lapsed;
+                owned.ledger.silent_until = owned.ledger.silent_until.min(until);
+                owned.before = None;
+            }
+        }
+        self.digests.insert(digest.member.clone(), (digest, now));
+        self.share_usage();
+    }
+
+    /// Tells each part's ledger what other parts use.
+    fn share_usage(&mut self) {
+        let mut elsewhere: BTreeMap<String, pulleywood_wire::record::Slots> = BTreeMap::new();
+        for (digest, _) in self.digests.values() {
+            for part in digest.parts.iter().filter(|p| !self.owned.contains_key(&p.part)) {
+                for (team, slots) in &part.used {
+                    pulleywood_core::room::add(elsewhere.entry(team.clone()).or_default(), *slots);
+                }
+            }
+        }
+        for owned in self.owned.values_mut() {
+            owned.ledger.elsewhere.clone_from(&elsewhere);
+        }
+    }
+
+    /// Applies one watched change.
+    pub fn event(&mut self, event: Event, now: Moment) {
+        let (path, written) = match (&event.write, &event.delete) {
+            (Some(path), _) => (path.clone(), true),
+            (None, Some(path)) => (path.clone(), false),
+            _ => return,
+        };
+        let Some(key) = Key::parse(&path) else { return };
+        let stamp = event.stamp;
+        let value = event.value.as_ref().filter(|_| written);
+        match key {
+            Key::Layout => self.view.layout = read(value, &path),
+            Key::Term => {
+                if let Some(record) = read::<TermRecord>(value, &path)
+                    && stamp > self.view.term.1
+                {
+                    self.view.term = (record.last, stamp);
+                }
+            }
+            Key::Role => self.view.role = read(value, &path).map(|h| (h, stamp)),
+            Key::Part(p) => match read::<Holder>(value, &path) {
+                Some(holder) => {
+                    self.view.free_since.remove(&p);
+                    self.view.parts.insert(p, (holder, stamp));
+                }
+                None => {
+                    self.view.parts.remove(&p);
+                    self.view.free_since.entry(p).or_insert(now);
+                }
+            },
+            Key::Last(p) => {
+                if let Some(holder) = read(value, &path) {
+                    self.view.last.insert(p, (holder, stamp));
+                }
+            }
+            Key::Grant(p) => {
+                if let Some(record) = read::<GrantRecord>(value, &path) {
+                    self.put_grant(p, record, stamp);
+                }
+            }
+            Key::Machine(id) => match read::<MachineRecord>(value, &path) {
+                Some(record) => self.put_machine(&id, record, stamp, now),
+                None => {
+                    self.view.machines.remove(&id);
+                    for owned in self.owned.values_mut() {
+                        owned.ledger.drop_machine(&id);
+                    }
+                }
+            },
+            Key::Job(p, id, chunk) => {
+                let config = Arc::clone(&self.config);
+                let Some(owned) = self.owned.get_mut(&p) else {
+                    return;
+                };
+                if !owned.loaded {
+                    owned.held.push(event);
+                    return;
+                }
+                owned.job_event(&path, &id, chunk, value, stamp, false, now, &config);
+            }
+        }
+    }
+
+    /// A part's grants as stored.
+    pub fn put_grant(&mut self, p: PartId, record: GrantRecord, stamp: Stamp) {
+        if self.view.grants.get(&p).is_some_and(|(_, s)| *s >= stamp) {
+            return;
+        }
+        if let Some(owned) = self.owned.get_mut(&p) {
+            owned.ledger.grants = record.clone();
+            owned.ledger.disturb();
+        }
+        self.view.grants.insert(p, (record, stamp));
+    }
+
+    /// A machine's record as stored.
+    pub fn put_machine(&mut self, id: &MachineId, record: MachineRecord, stamp: Stamp, now: Moment) {
+        if self.view.machines.get(id).is_some_and(|(_, s)| *s >= stamp) {
+            return;
+        }
+        for (part, owned) in &mut self.owned {
+            if *part == record.part {
+                owned.ledger.put_machine(id, record.clone(), stamp, false, now);
+            } else if owned.ledger.machines.contains_key(id) {
+                // Only this owner's own transaction moves it away, while idle.
+                owned.ledger.drop_machine(id);
+            }
+        }
+        self.view.machines.insert(id.clone(), (record, stamp));
+    }
+
+    /// A job accepted here is told to its part at once if that is here too.
+    pub fn put_job(&mut self, p: PartId, record: JobRecord, stamp: Stamp, now: Moment) {
+        let config = Arc::clone(&self.config);
+        if let Some(owned) = self.owned.get_mut(&p).filter(|o| o.loaded) {
+            owned.ledger.put_job(record, stamp, false, now, &config);
+        }
+    }
+}
+
+impl Owned {
+    /// A job's key changed. `old`: an earlier owner may have launched it.
+    #[expect(clippy::too_many_arguments, reason = "one call site passes an event taken apart")]
+    pub fn job_event(
+        &mut self,
+        path: &str,
+        id: &JobId,
+        chunk: u32,
+        value: Option<&cbor::Value>,
+        stamp: Stamp,
+        old: bool,
+        now: Moment,
+        config: &Config,
+    ) {
+        match (value, chunk) {
+            (Some(_), 0) => {
+                if let Some(record) = read::<JobRecord>(value, path) {
+                    self.ledger.put_job(record, stamp, old, now, config);
+                }
+            }
+            (Some(_), chunk) => {
+                if let Some(record) = read(value, path) {
+                    self.ledger.put_chunk(id, chunk, &record, stamp, config);
+                }
+            }
+            (None, 0) => {
+                if self.ledger.jobs.get(id).is_some_and(|j| j.stamp < stamp) {
+                    self.ledger.drop_job(id);
+                }
+            }
+            (None, _) => {}
+        }
+    }
+}
+
+/// Reads a stored record; one that cannot be read is logged and left alone.
+pub fn read<T: serde::de::DeserializeOwned>(value: Option<&cbor::Value>, path: &str) -> Option<T> {
+    match cbor::from_value(value?) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            log::error!("record {path} cannot be read: {e}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleywood/src/owner.rs
@@ -0,0 +1,714 @@
+//! Leases, parts and done batches: what makes this controller an owner.
+
+use crate::node::{Node, Owned, Shared, read};
+use pulleywood_core::{PartLedger, grants};
+use pulleywood_net::state::Outcome;
+use pulleywood_net::{Class, StateError, cloud};
+use pulleywood_wire::record::{
+    Holder, Key, LAYOUT, Layout, TERM, TermRecord, grant_key, job_key, jobs_prefix, last_key,
+    machine_key, part_key,
+};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::worker::Direct;
+use pulleywood_wire::{JobId, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Keeps the lease renewed; runs for the life of the process.
+pub fn renew(shared: &Arc<Shared>) {
+    end_former_lease(shared);
+    loop {
+        let (permit, ttl) = {
+            let node = shared.node.lock();
+            (node.lease.permit, shared.ttl(&node))
+        };
+        let sent = shared.clock.now();
+        let result = match permit {
+            None => shared.state.grant(ttl).map(Some),
+            Some(permit) => shared
+                .state
+                .renew(permit, (ttl / 3).min(Duration::from_millis(1200)))
+                .map(|()| None),
+        };
+        let pause = match result {
+            Ok(new) => {
+                let mut node = shared.node.lock();
+                if new.is_some() {
+                    node.lease.permit = new;
+                }
+                node.lease.renewed = sent;
+                ttl / 5
+            }
+            Err(StateError::NoLease) => {
+                log::info!("the lease ran out: its parts are gone");
+                let mut node = shared.node.lock();
+                node.lease.permit = None;
+                node.owned.clear();
+                Duration::from_millis(50)
+            }
+            Err(e) => {
+                log::debug!("lease: {e}");
+                Duration::from_millis(250)
+            }
+        };
+        // Jittered, so that renewals do not come back together after a stall.
+        std::thread::sleep(pause.mul_f64(0.85 + 0.3 * fastrand::f64()));
+    }
+}
+
+/// A restarted process ends the lease of its former self, which is dead, so
+/// that its parts need not wait it out.
+fn end_former_lease(shared: &Arc<Shared>) {
+    loop {
+        let holder = {
+            let node = shared.node.lock();
+            node.viewed.then(|| {
+                let mine = |h: &&(Holder, Stamp)| h.0.member == shared.me && h.0.boot != shared.boot;
+                let part = node.view.parts.iter().find(|(_, h)| mine(h));
+                part.map(|(p, _)| part_key(*p)).or_else(|| {
+                    node.view
+                        .role
+                        .as_ref()
+                        .filter(mine)
+                        .map(|_| pulleywood_wire::record::ROLE.to_owned())
+                })
+            })
+        };
+        let key = match holder {
+            None => {
+                std::thread::sleep(Duration::from_millis(20));
+                continue;
+            }
+            Some(None) => return,
+            Some(Some(key)) => key,
+        };
+        let ended = shared
+            .state
+            .get(Class::Lease, &key)
+            .and_then(|item| match item {
+                Some(item) => {
+                    // Another may have taken the key since.
+                    let mine = read::<Holder>(Some(&item.value), &key)
+                        .is_some_and(|h| h.member == shared.me && h.boot != shared.boot);
+                    match item.permit.filter(|_| mine) {
+                        Some(permit) => shared.state.end(permit),
+                        None => Ok(()),
+                    }
+                }
+                None => Ok(()),
+            });
+        match ended {
+            Ok(()) => {
+                log::info!("ended the lease of this controller's former process");
+                return;
+            }
+            Err(e) => {
+                log::debug!("former lease: {e}");
+                std::thread::sleep(Duration::from_millis(300));
+            }
+        }
+    }
+}
+
+/// Takes, rebuilds and hands back parts; runs for the life of the process.
+pub fn hold_parts(shared: &Arc<Shared>) {
+    loop {
+        let step = {
+            let node = shared.node.lock();
+            next_step(shared, &node)
+        };
+        let result = match step {
+            Step::Nothing => Ok(()),
+            Step::Init => init(shared),
+            Step::Take(part, permit) => take(shared, part, permit),
+            Step::HandBack(part) => hand_back(shared, part),
+            Step::Disown(part, stamp) => disown(shared, part, stamp),
+        };
+        if let Err(e) = result {
+            log::debug!("parts: {e}");
+        }
+        let mut node = shared.node.lock();
+        shared
+            .bell
+            .wait_for(&mut node, Duration::from_millis(200));
+        drop(node);
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+enum Step {
+    Nothing,
+    Init,
+    Take(PartId, Permit),
+    HandBack(PartId),
+    /// A transaction that was given up on was applied after all.
+    Disown(PartId, Stamp),
+}
+
+/// A part without an owner waits this long for one that has none.
+const GRACE: Duration = Duration::from_millis(1500);
+
+fn next_step(shared: &Shared, node: &Node) -> Step {
+    let now = shared.clock.now();
+    if !node.viewed || !node.may_act(now) || node.config.flavors.is_empty() {
+        return Step::Nothing;
+    }
+    let Some(permit) = node.lease.permit else {
+        return Step::Nothing;
+    };
+    let Some(layout) = node.view.layout else {
+        return Step::Init;
+    };
+    let fresh = |member: &MemberId| {
+        node.digests
+            .get(member)
+            .filter(|(_, at)| now.since(*at) < Duration::from_secs(3))
+            .map(|(d, _)| d)
+    };
+    let mut members: Vec<&MemberId> = shared.peers.keys().chain([&shared.me]).collect();
+    members.sort();
+    let preferred = |p: PartId| members[p.0 as usize % members.len()];
+    let partless = |m: &&MemberId| fresh(m).is_some_and(|d| d.fit && d.serving.is_empty());
+    let mut best: Option<(bool, PartId)> = None;
+    for p in (0..layout.parts).map(PartId) {
+        if let Some((holder, stamp)) = node.view.parts.get(&p)
+            && holder.member == shared.me
+            && holder.boot == shared.boot
+            && !node.owned.contains_key(&p)
+        {
+            return Step::Disown(p, *stamp);
+        }
+        if node.view.parts.contains_key(&p) || node.owned.contains_key(&p) {
+            continue;
+        }
+        let free = node
+            .view
+            .free_since
+            .get(&p)
+            .map_or(Duration::ZERO, |at| now.since(*at));
+        let mine = *preferred(p) == shared.me;
+        let ready = match node.owned.is_empty() {
+            true if mine => true,
+            // Its preferred owner may be starting too.
+            true => free > GRACE / 2 && !partless(&preferred(p)),
+            false if mine => free > GRACE / 2,
+            false => free > GRACE && !members.iter().any(partless),
+        };
+        if ready && best.is_none_or(|(m, _)| mine && !m) {
+            best = Some((mine, p));
+        }
+    }
+    if let Some((_, p)) = best {
+        return Step::Take(p, permit);
+    }
+    if node.owned.len() > 1 && node.owned.values().all(|o| o.loaded && !o.leaving) {
+        let idle: Vec<&&MemberId> = members.iter().filter(|m| partless(m)).collect();
+        if let Some(to) = idle.first() {
+            let choice = node
+                .owned
+                .keys()
+                .find(|p| *preferred(**p) == ***to)
+                .or_else(|| node.owned.keys().find(|p| *preferred(**p) != shared.me));
+            if let Some(p) = choice {
+                return Step::HandBack(*p);
+            }
+        }
+    }
+    Step::Nothing
+}
+
+/// Stores the layout, once for ever.
+fn init(shared: &Arc<Shared>) -> Result<(), StateError> {
+    let parts = shared.settings.cluster.initial_size;
+    let commit = Commit::default()
+        .when(LAYOUT, Stamp(0))
+        .when(TERM, Stamp(0))
+        .write(LAYOUT, &Layout { parts })
+        .write(TERM, &TermRecord { last: Term(0) });
+    let outcome = shared.state.commit(Class::Owner, &commit)?;
+    log::info!("stored the layout of {parts} parts: {outcome:?}");
+    std::thread::sleep(Duration::from_millis(100));
+    Ok(())
+}
+
+/// The newest term and its stamp, read from the store.
+fn newest_term(shared: &Shared) -> Result<(Term, Stamp), StateError> {
+    let item = shared.state.get(Class::Owner, TERM)?;
+    Ok(item
+        .and_then(|i| read::<TermRecord>(Some(&i.value), TERM).map(|r| (r.last, i.stamp)))
+        .unwrap_or_default())
+}
+
+fn take(shared: &Arc<Shared>, part: PartId, permit: Permit) -> Result<(), StateError> {
+    let (term, term_stamp) = newest_term(shared)?;
+    let last = shared.state.get(Class::Owner, &last_key(part))?;
+    let (before, last_stamp) = match &last {
+        Some(item) => (
+            read::<Holder>(Some(&item.value), &item.path),
+            item.stamp,
+        ),
+        None => (None, Stamp(0)),
+    };
+    let term = Term(term.0 + 1);
+    let holder = Holder {
+        member: shared.me.clone(),
+        boot: shared.boot,
+        term,
+    };
+    let (config, has_grant, layout) = {
+        let node = shared.node.lock();
+        (
+            Arc::clone(&node.config),
+            node.view.grants.contains_key(&part),
+            node.view.layout,
+        )
+    };
+    let mut commit = Commit::default()
+        .when(part_key(part), Stamp(0))
+        .when(TERM, term_stamp)
+        .when(last_key(part), last_stamp)
+        .write(TERM, &TermRecord { last: term })
+        .hold(part_key(part), &holder, permit)
+        .write(last_key(part), &holder);
+    let first_grant = grants::first(&config, layout.map_or(1, |l| l.parts));
+    if !has_grant {
+        commit = commit
+            .when(grant_key(part), Stamp(0))
+            .write(grant_key(part), &first_grant);
+    }
+    let stamp = match shared.state.commit(Class::Owner, &commit) {
+        Ok(Outcome::Applied(stamp)) => stamp,
+        Ok(Outcome::Conflict) => return Ok(()),
+        // If it was applied all the same, the key names this process: it is
+        // found below, by reading it.
+        Err(StateError::Unknown(_)) => match shared.state.get(Class::Owner, &part_key(part))? {
+            Some(item) if read::<Holder>(Some(&item.value), &item.path).as_ref() == Some(&holder) => {
+                item.stamp
+            }
+            _ => return Ok(()),
+        },
+        Err(e) => return Err(e),
+    };
+    let now = shared.clock.now();
+    // Workers that report to nobody: the old owner may answer them for a while
+    // after its last contact, unless its process is known to have ended.
+    let silent_until = match &before {
+        None => now,
+        Some(h) if h.member == shared.me => now + config.surely_lapsed(),
+        Some(_) => now + config.silent_span(),
+    };
+    log::info!("took part {part} under term {term}, before: {before:?}");
+    {
+        let mut node = shared.node.lock();
+        if node.lease.permit != Some(permit) {
+            return Ok(());
+        }
+        let mut ledger = PartLedger::new(part, term, silent_until, config.zones.clone());
+        if !has_grant {
+            node.put_grant(part, first_grant, stamp);
+        }
+        if let Some((record, _)) = node.view.grants.get(&part) {
+            ledger.grants = record.clone();
+        }
+        let before = before.filter(|h| h.member != shared.me);
+        node.view.parts.insert(part, (holder, stamp));
+        node.view.free_since.remove(&part);
+        node.owned.insert(
+            part,
+            Owned {
+                ledger,
+                stamp,
+                loaded: false,
+                held: Vec::new(),
+                leaving: false,
+                before,
+            },
+        );
+    }
+    load(shared, part, stamp)
+}
+
+/// Reads a part's machines and jobs, then introduces the new term.
+fn load(shared: &Arc<Shared>, part: PartId, part_stamp: Stamp) -> Result<(), StateError> {
+    let (jobs, machines) = loop {
+        let jobs = shared.state.list(Class::Owner, &jobs_prefix(part));
+        let machines = jobs
+            .and_then(|jobs| Ok((jobs, shared.state.list(Class::Owner, "c/machine/")?)));
+        match machines {
+            Ok((jobs, machines)) => break (jobs, machines),
+            Err(e) => {
+                log::debug!("reading part {part}: {e}");
+                std::thread::sleep(Duration::from_millis(200));
+                let node = shared.node.lock();
+                if node.owned.get(&part).is_none_or(|o| o.stamp != part_stamp) {
+                    return Ok(());
+                }
+            }
+        }
+    };
+    let now = shared.clock.now();
+    let mut to_greet = Vec::new();
+    {
+        let mut guard = shared.node.lock();
+        let node = &mut *guard;
+        let config = Arc::clone(&node.config);
+        let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) else {
+            return Ok(());
+        };
+        for item in &machines.0 {
+            let Some(Key::Machine(id)) = Key::parse(&item.path) else {
+                continue;
+            };
+            let Some(record) =
+                read::<pulleywood_wire::record::MachineRecord>(Some(&item.value), &item.path)
+            else {
+                continue;
+            };
+            if record.part != part {
+                continue;
+            }
+            if !record.endpoint.is_empty() {
+                to_greet.push((id.clone(), record.endpoint.clone()));
+            }
+            // Also replaces what an event may have brought as not inherited.
+            owned.ledger.machines.remove(&id);
+            owned.ledger.put_machine(&id, record, item.stamp, true, now);
+        }
+        // Continuations sort after their job's record.
+        for item in &jobs.0 {
+            if let Some(Key::Job(_, id, chunk)) = Key::parse(&item.path) {
+                owned.job_event(&item.path, &id, chunk, Some(&item.value), item.stamp, true, now, &config);
+            }
+        }
+        owned.loaded = true;
+        let held = std::mem::take(&mut owned.held);
+        for event in held.into_iter().filter(|e| e.stamp.0 > jobs.1) {
+            node.event(event, now);
+        }
+        log::info!(
+            "part {part}: {} jobs, {} machines",
+            node.owned[&part].ledger.jobs.len(),
+            to_greet.len()
+        );
+    }
+    greet(shared, part, to_greet);
+    Ok(())
+}
+
+/// Sends each machine the new term by an empty direct command, a few at a
+/// time: its reply is its report, and it then reports by itself.
+fn greet(shared: &Arc<Shared>, part: PartId, machines: Vec<(MachineId, String)>) {
+    const AT_ONCE: usize = 3;
+    if machines.is_empty() {
+        return;
+    }
+    let queue = Arc::new(parking_lot::Mutex::new(machines));
+    for _ in 0..AT_ONCE {
+        let (shared, queue) = (Arc::clone(shared), Arc::clone(&queue));
+        let started = std::thread::Builder::new()
+            .name("greet".into())
+            .stack_size(128 * 1024)
+            .spawn(move || {
+                while let Some((id, endpoint)) = { queue.lock().pop() } {
+                    greet_one(&shared, part, &id, &endpoint);
+                }
+            });
+        if let Err(e) = started {
+            log::error!("cannot start a thread: {e}");
+        }
+    }
+}
+
+fn greet_one(shared: &Shared, part: PartId, id: &MachineId, endpoint: &str) {
+    let Ok(addr) = endpoint.parse() else {
+        return;
+    };
+    // A wrong session is answered with 409 and the report, whose session then
+    // lets the second try through.
+    let mut session = 1;
+    for _ in 0..2 {
+        let term = {
+            let now = shared.clock.now();
+            let node = shared.node.lock();
+            let Some(owned) = node.owned.get(&part).filter(|_| node.may_act(now)) else {
+                return;
+            };
+            match owned.ledger.machines.get(id) {
+                Some(m) if !m.confirmed => m.term(owned.ledger.term),
+                _ => return,
+            }
+        };
+        let direct = Direct {
+            term,
+            session,
+            orders: Vec::new(),
+        };
+        match cloud::direct(addr, &direct, Duration::from_millis(1500)) {
+            Ok((true, report)) if report.machine == *id => {
+                let now = shared.clock.now();
+                let mut node = shared.node.lock();
+                let config = Arc::clone(&node.config);
+                if let Some(owned) = node.owned.get_mut(&part) {
+                    owned.ledger.report(&report, true, now, &config);
+                }
+                return;
+            }
+            Ok((false, report)) if report.session != session => session = report.session,
+            Ok(_) => return,
+            Err(e) => {
+                log::debug!("greeting {id}: {e}");
+                return;
+            }
+        }
+    }
+}
+
+/// Gives a part to a controller that has none: launches stop, what is done is
+/// committed, and the part's key is deleted.
+fn hand_back(shared: &Arc<Shared>, part: PartId) -> Result<(), StateError> {
+    log::info!("handing part {part} back");
+    let stamp = {
+        let mut node = shared.node.lock();
+        let Some(owned) = node.owned.get_mut(&part) else {
+            return Ok(());
+        };
+        owned.leaving = true;
+        owned.stamp
+    };
+    let commit = Commit::default()
+        .when(part_key(part), stamp)
+        .delete(part_key(part));
+    let outcome = shared.state.commit(Class::Owner, &commit);
+    let mut node = shared.node.lock();
+    match outcome {
+        // Without an answer it may be gone; better gone than held twice.
+        Ok(_) | Err(StateError::Unknown(_)) => {
+            node.owned.remove(&part);
+            if matches!(outcome, Ok(Outcome::Applied(_))) {
+                node.view.parts.remove(&part);
+                let now = shared.clock.now();
+                node.view.free_since.insert(part, now);
+            }
+        }
+        Err(_) => {
+            if let Some(owned) = node.owned.get_mut(&part) {
+                owned.leaving = false;
+            }
+        }
+    }
+    outcome.map(|_| ())
+}
+
+/// Frees a part whose key names this process though it does not hold it.
+fn disown(shared: &Arc<Shared>, part: PartId, stamp: Stamp) -> Result<(), StateError> {
+    log::info!("part {part} was taken by a late transaction: freeing it");
+    let commit = Commit::default()
+        .when(part_key(part), stamp)
+        .delete(part_key(part));
+    if let Outcome::Applied(_) = shared.state.commit(Class::Owner, &commit)? {
+        let mut node = shared.node.lock();
+        node.view.parts.remove(&part);
+        let now = shared.clock.now();
+        node.view.free_since.insert(part, now);
+    }
+    Ok(())
+}
+
+/// Lets time pass in the ledgers and commits done batches; runs for the life
+/// of the process.
+pub fn flush(shared: &Arc<Shared>) {
+    loop {
+        std::thread::sleep(Duration::from_millis(200));
+        let now = shared.clock.now();
+        let parts: Vec<PartId> = {
+            let mut node = shared.node.lock();
+            let config = Arc::clone(&node.config);
+            for owned in node.owned.values_mut().filter(|o| o.loaded) {
+                owned.ledger.tick(now, &config);
+            }
+            if !node.may_act(now) {
+                continue;
+            }
+            node.owned
+                .iter()
+                .filter(|(_, o)| o.loaded && o.ledger.has_batch())
+                .map(|(p, _)| *p)
+                .collect()
+        };
+        for part in parts {
+            flush_part(shared, part, now);
+        }
+    }
+}
+
+fn flush_part(shared: &Arc<Shared>, part: PartId, now: Moment) {
+    let batch = {
+        let node = shared.node.lock();
+        let config = &node.config;
+        node.owned
+            .get(&part)
+            .filter(|_| node.may_act(now))
+            .and_then(|o| Some((o.ledger.batch(o.stamp, config)?, o.stamp)))
+    };
+    let Some((batch, part_stamp)) = batch else {
+        return;
+    };
+    match shared.state.commit(Class::Owner, &batch.commit) {
+        Ok(Outcome::Applied(stamp)) => {
+            let mut node = shared.node.lock();
+            if let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) {
+                owned.ledger.batch_applied(&batch, stamp);
+            }
+            log::debug!("part {part}: {} jobs' done tasks at {stamp}", batch.jobs.len());
+        }
+        // A conflict, or no answer: what is stored decides, not what was sent.
+        Ok(Outcome::Conflict) | Err(StateError::Unknown(_)) => {
+            log::debug!("part {part}: done batch not confirmed, reading again");
+            for job in &batch.jobs {
+                if let Err(e) = refresh_job(shared, part, part_stamp, &job.id) {
+                    log::debug!("reading {}: {e}", job.id);
+                }
+            }
+        }
+        Err(e) => log::debug!("part {part}: done batch: {e}"),
+    }
+}
+
+/// Brings one job's record up to what is stored.
+fn refresh_job(
+    shared: &Arc<Shared>,
+    part: PartId,
+    part_stamp: Stamp,
+    id: &JobId,
+) -> Result<(), StateError> {
+    let key = job_key(part, id);
+    let (items, _) = shared.state.list(Class::Owner, &key)?;
+    let now = shared.clock.now();
+    let mut node = shared.node.lock();
+    let config = Arc::clone(&node.config);
+    let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) else {
+        return Ok(());
+    };
+    let mut live = false;
+    for item in &items {
+        if let Some(Key::Job(_, job, chunk)) = Key::parse(&item.path)
+            && job == *id
+        {
+            live = true;
+            owned.job_event(&item.path, id, chunk, Some(&item.value), item.stamp, false, now, &config);
+        }
+    }
+    if !live {
+        owned.ledger.drop_job(id);
+    }
+    Ok(())
+}
+
+/// The transaction that moves or retires a machine of a part held here.
+pub fn let_go(shared: &Arc<Shared>, id: &MachineId, to: Option<PartId>) -> bool {
+    let now = shared.clock.now();
+    let Ok((term, term_stamp)) = (if to.is_some() {
+        newest_term(shared)
+    } else {
+        Ok(Default::default())
+    }) else {
+        return false;
+    };
+    let prepared = {
+        let mut node = shared.node.lock();
+        if !node.may_act(now) {
+            return false;
+        }
+        node.owned.iter_mut().find_map(|(part, owned)| {
+            if !owned.loaded || owned.leaving || !owned.ledger.may_leave(id) {
+                return None;
+            }
+            let machine = owned.ledger.machines.get_mut(id)?;
+            machine.leaving = true;
+            owned.ledger.disturb();
+            let machine = owned.ledger.machines.get(id)?;
+            Some((*part, owned.stamp, machine.record.clone(), machine.stamp))
+        })
+    };
+    let Some((part, part_stamp, record, stamp)) = prepared else {
+        return false;
+    };
+    let mut next = record.clone();
+    let mut commit = Commit::default()
+        .when(machine_key(id), stamp)
+        .when(part_key(part), part_stamp);
+    match to {
+        Some(to) => {
+            next.part = to;
+            next.term = Term(term.0 + 1);
+            commit = commit
+                .when(TERM, term_stamp)
+                .write(TERM, &TermRecord { last: next.term });
+        }
+        None => next.retiring = true,
+    }
+    commit = commit.write(machine_key(id), &next);
+    let outcome = shared.state.commit(Class::Owner, &commit);
+    let now = shared.clock.now();
+    match outcome {
+        Ok(Outcome::Applied(stamp)) => {
+            shared.node.lock().put_machine(id, next, stamp, now);
+            log::info!("part {part} let {id} go: {to:?}");
+            true
+        }
+        Ok(Outcome::Conflict) | Err(StateError::NotSent(_) | StateError::Refused(_) | StateError::Budget(_)) => {
+            stay(shared, part, id);
+            false
+        }
+        Err(_) => {
+            // It may be applied minutes from now. Until a newer write fences
+            // it off, the machine stays out of use.
+            fence_machine(shared, part, part_stamp, id);
+            false
+        }
+    }
+}
+
+fn stay(shared: &Shared, part: PartId, id: &MachineId) {
+    let mut node = shared.node.lock();
+    if let Some(owned) = node.owned.get_mut(&part)
+        && let Some(machine) = owned.ledger.machines.get_mut(id)
+    {
+        machine.leaving = machine.record.retiring;
+        owned.ledger.disturb();
+    }
+}
+
+/// Rewrites a machine's record as it is, so that an older transaction that
+/// was never answered can no longer be applied.
+fn fence_machine(shared: &Arc<Shared>, part: PartId, part_stamp: Stamp, id: &MachineId) {
+    for _ in 0..10 {
+        std::thread::sleep(Duration::from_millis(500));
+        let key = machine_key(id);
+        let Ok(item) = shared.state.get(Class::Owner, &key) else {
+            continue;
+        };
+        let now = shared.clock.now();
+        let Some(item) = item else {
+            return;
+        };
+        let Some(record) =
+            read::<pulleywood_wire::record::MachineRecord>(Some(&item.value), &key)
+        else {
+            return;
+        };
+        if record.part != part || record.retiring {
+            shared.node.lock().put_machine(id, record, item.stamp, now);
+            return;
+        }
+        let commit = Commit::default()
+            .when(key.clone(), item.stamp)
+            .when(part_key(part), part_stamp)
+            .write(key, &record);
+        if let Ok(Outcome::Applied(stamp)) = shared.state.commit(Class::Owner, &commit) {
+            shared.node.lock().put_machine(id, record, stamp, now);
+            stay(shared, part, id);
+            return;
+        }
+    }
+}
