--- /dev/null
+++ b/crates/pulleywood/src/users.rs
@@ -0,0 +1,303 @@
+//! Users' requests: any controller takes them, whoever owns the part.
+//!
+//! What a user is told rests on a commit or on a read made for that very
+//! request; only final states are remembered.
+
+use crate::clock::time_of_day_ms;
+use crate::node::{Shared, read};
+use pulleywood_core::Config;
+use pulleywood_core::room::Room;
+use pulleywood_net::server::Response;
+use pulleywood_net::state::Outcome;
+use pulleywood_net::{Class, StateError};
+use pulleywood_wire::job::JobAnswer;
+use pulleywood_wire::record::{
+    ChunkRecord, JobRecord, Key, OverRecord, TaskSet, job_key, jobs_prefix, over_key,
+};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::{JobId, JobSpec, JobStatus, Moment, PartId, Stamp, cbor};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A job as stored.
+enum Stored {
+    Live(Box<JobRecord>, Stamp),
+    Over(OverRecord),
+    Unknown,
+}
+
+fn layout(shared: &Shared) -> Option<u32> {
+    shared.node.lock().view.layout.map(|l| l.parts)
+}
+
+/// What can't be taken now is answered at once, with when to come back.
+fn later(error: &StateError) -> Response {
+    match error {
+        StateError::Budget(wait) => {
+            Response::later(429, wait.as_secs_f64().ceil().clamp(1.0, 30.0) as u32)
+        }
+        _ => Response::later(503, 1),
+    }
+}
+
+fn lookup(shared: &Shared, part: PartId, id: &JobId) -> Result<Stored, StateError> {
+    if let Some(over) = shared.finals.lock().get(id) {
+        return Ok(Stored::Over(over));
+    }
+    // Live first: a job moves from live to over in one transaction.
+    let key = job_key(part, id);
+    if let Some(item) = shared.state.get(Class::User, &key)?
+        && let Some(record) = read(Some(&item.value), &key)
+    {
+        return Ok(Stored::Live(Box::new(record), item.stamp));
+    }
+    let key = over_key(id);
+    if let Some(item) = shared.state.get(Class::User, &key)?
+        && let Some(over) = read::<OverRecord>(Some(&item.value), &key)
+    {
+        shared.finals.lock().put(id, over.clone());
+        return Ok(Stored::Over(over));
+    }
+    Ok(Stored::Unknown)
+}
+
+fn answer(shared: &Shared, part: PartId, id: &JobId, stored: &Stored) -> Response {
+    match stored {
+        Stored::Unknown => Response::status(404),
+        Stored::Over(over) => Response::cbor(
+            200,
+            &JobAnswer {
+                uid: id.clone(),
+                status: over.status,
+                done: over.done,
+                running: 0,
+            },
+        ),
+        Stored::Live(record, _) => {
+            let (done, running) = progress(shared, part, id, record);
+            let status = if running > 0 {
+                JobStatus::Running
+            } else {
+                JobStatus::Queued
+            };
+            Response::cbor(
+                200,
+                &JobAnswer {
+                    uid: id.clone(),
+                    status,
+                    done,
+                    running,
+                },
+            )
+        }
+    }
+}
+
+/// Tasks done and running, for display: the owner's count where it is here or
+/// in a digest, else the stored one.
+fn progress(shared: &Shared, part: PartId, id: &JobId, record: &JobRecord) -> (u32, u32) {
+    let now = shared.clock.now();
+    let node = shared.node.lock();
+    if let Some(owned) = node.owned.get(&part)
+        && let Some(job) = owned.ledger.jobs.get(id)
+    {
+        return (job.committed.len(), owned.ledger.running(id));
+    }
+    let mut done = TaskSet::new();
+    done.add_chunk(&record.done, 0, node.config.chunk, record.spec.tasks);
+    let running = node
+        .digests
+        .values()
+        .filter(|(_, at)| now.since(*at) < Duration::from_secs(5))
+        .flat_map(|(d, _)| &d.parts)
+        .filter(|p| p.part == part)
+        .flat_map(|p| &p.running)
+        .find(|(job, _)| job == id)
+        .map_or(0, |(_, n)| *n);
+    (done.len(), running)
+}
+
+/// `POST /v2/runs`
+pub fn submit(shared: &Arc<Shared>, body: &[u8]) -> Response {
+    let spec: JobSpec = match cbor::decode(body) {
+        Ok(spec) => spec,
+        Err(e) => {
+            log::debug!("malformed submission: {e}");
+            return Response::status(400);
+        }
+    };
+    if let Some(field) = spec.invalid_field() {
+        log::debug!("{}: invalid {field}", spec.id);
+        return Response::status(400);
+    }
+    let config: Arc<Config> = Arc::clone(&shared.node.lock().config);
+    let Some(parts) = layout(shared).filter(|_| !config.flavors.is_empty()) else {
+        return Response::later(503, 1);
+    };
+    let id = spec.id.clone();
+    let part = id.part(parts);
+    if let Some(why) = config.never_runs(&spec) {
+        // A job accepted once is never refused later.
+        return match lookup(shared, part, &id) {
+            Ok(Stored::Unknown) => {
+                log::info!("{id} refused: {why}");
+                Response::status(422)
+            }
+            Ok(stored) => answer(shared, part, &id, &stored),
+            Err(e) => later(&e),
+        };
+    }
+    if let Some(over) = shared.finals.lock().get(&id) {
+        return answer(shared, part, &id, &Stored::Over(over));
+    }
+    let record = JobRecord {
+        spec,
+        at_ms: time_of_day_ms(),
+        done: String::new(),
+    };
+    let key = job_key(part, &id);
+    let commit = Commit::default()
+        .when(key.clone(), Stamp(0))
+        .when(over_key(&id), Stamp(0))
+        .write(key, &record);
+    match shared.state.commit(Class::User, &commit) {
+        Ok(Outcome::Applied(stamp)) => {
+            let now: Moment = shared.clock.now();
+            shared.node.lock().put_job(part, record, stamp, now);
+            log::debug!("accepted {id}");
+            Response::cbor(
+                201,
+                &JobAnswer {
+                    uid: id,
+                    status: JobStatus::Queued,
+                    done: 0,
+                    running: 0,
+                },
+            )
+        }
+        Ok(Outcome::Conflict) => match lookup(shared, part, &id) {
+            Ok(Stored::Unknown) => Response::later(503, 1),
+            Ok(stored) => answer(shared, part, &id, &stored),
+            Err(e) => later(&e),
+        },
+        // It may have been accepted; the user's retry will tell.
+        Err(e) => {
+            log::debug!("submission of {id}: {e}");
+            later(&e)
+        }
+    }
+}
+
+/// `GET /v2/runs/{id}`
+pub fn poll(shared: &Arc<Shared>, id: &str) -> Response {
+    let Some(id) = JobId::parse(id) else {
+        return Response::status(404);
+    };
+    let Some(parts) = layout(shared) else {
+        return Response::later(503, 1);
+    };
+    let part = id.part(parts);
+    match lookup(shared, part, &id) {
+        Ok(stored) => answer(shared, part, &id, &stored),
+        Err(e) => later(&e),
+    }
+}
+
+/// `POST /v2/runs/{id}/cancel`
+pub fn cancel(shared: &Arc<Shared>, id: &str) -> Response {
+    let Some(id) = JobId::parse(id) else {
+        return Response::status(404);
+    };
+    let Some(parts) = layout(shared) else {
+        return Response::later(503, 1);
+    };
+    let part = id.part(parts);
+    for _ in 0..4 {
+        let (record, stamp) = match lookup(shared, part, &id) {
+            Ok(Stored::Live(record, stamp)) => (record, stamp),
+            Ok(stored) => return answer(shared, part, &id, &stored),
+            Err(e) => return later(&e),
+        };
+        match withdraw(shared, part, &id, &record, stamp) {
+            Ok(Some(over)) => {
+                log::debug!("cancelled {id}");
+                shared.finals.lock().put(&id, over.clone());
+                if let Some(owned) = shared.node.lock().owned.get_mut(&part) {
+                    owned.ledger.drop_job(&id);
+                }
+                return answer(shared, part, &id, &Stored::Over(over));
+            }
+            // A done batch came in between: look again.
+            Ok(None) => {}
+            Err(e) => {
+                log::debug!("cancelling {id}: {e}");
+                return later(&e);
+            }
+        }
+    }
+    Response::later(503, 1)
+}
+
+/// Deletes the live record with its continuations and writes the final state.
+fn withdraw(
+    shared: &Shared,
+    part: PartId,
+    id: &JobId,
+    record: &JobRecord,
+    stamp: Stamp,
+) -> Result<Option<OverRecord>, StateError> {
+    let chunk = shared.node.lock().config.chunk;
+    let tasks = record.spec.tasks;
+    let mut done = TaskSet::new();
+    done.add_chunk(&record.done, 0, chunk, tasks);
+    let key = job_key(part, id);
+    let mut commit = Commit::default()
+        .when(key.clone(), stamp)
+        .when(over_key(id), Stamp(0))
+        .delete(key.clone());
+    if tasks > chunk {
+        let (items, _) = shared
+            .state
+            .list(Class::User, &format!("{}{id}/", jobs_prefix(part)))?;
+        for item in items {
+            if let Some(Key::Job(_, _, n)) = Key::parse(&item.path)
+                && let Some(more) = read::<ChunkRecord>(Some(&item.value), &item.path)
+            {
+                done.add_chunk(&more.done, n, chunk, tasks);
+                commit = commit
+                    .when(item.path.clone(), item.stamp)
+                    .delete(item.path);
+            }
+        }
+    }
+    let over = OverRecord {
+        status: JobStatus::Cancelled,
+        done: done.len(),
+        team: record.spec.team.clone(),
+        slots: Room::of_task(&record.spec).slots(),
+    };
+    let commit = commit.write(over_key(id), &over);
+    Ok(match shared.state.commit(Class::User, &commit)? {
+        Outcome::Applied(_) => Some(over),
+        Outcome::Conflict => None,
+    })
+}
+
+/// `GET /ready`: ready in a general outage, since leaving and coming back
+/// costs more than the outage; not ready when only this node is refused.
+pub fn ready(shared: &Arc<Shared>) -> Response {
+    let now = shared.clock.now();
+    let answers = shared.state.answers();
+    let node = shared.node.lock();
+    let started = node.viewed && node.view.layout.is_some() && !node.config.flavors.is_empty();
+    let alone = !answers
+        && node
+            .digests
+            .values()
+            .any(|(d, at)| d.state_ok && now.since(*at) < Duration::from_secs(3));
+    if started && !alone {
+        Response::status(200)
+    } else {
+        Response::later(503, 1)
+    }
+}
--- /dev/null
+++ b/crates/pulleywood/src/workers.rs
@@ -0,0 +1,178 @@
+//! Workers' reports.
+
+use crate::node::{Node, Shared};
+use pulleywood_core::ledger::Taken;
+use pulleywood_net::Class;
+use pulleywood_net::server::Response;
+use pulleywood_net::state::Outcome;
+use pulleywood_wire::record::{MachineRecord, machine_key, part_key};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::worker::{Redirect, Report, ReportAnswer};
+use pulleywood_wire::{MemberId, PartId, Stamp, Term, cbor};
+use std::sync::Arc;
+
+/// Where a report belongs.
+enum Route {
+    /// To a part held here.
+    Here(PartId),
+    /// To another controller.
+    There(MemberId),
+    /// To a part held here, once its record is written (its stamp is given).
+    Record(PartId, Stamp, Stamp, Option<MachineRecord>, Term),
+    /// Nobody can take it now.
+    Nobody,
+}
+
+/// Answers one report.
+pub fn report(shared: &Arc<Shared>, body: &[u8]) -> Response {
+    let report: Report = match cbor::decode(body) {
+        Ok(report) => report,
+        Err(e) => {
+            log::debug!("malformed report: {e}");
+            return Response::status(400);
+        }
+    };
+    // A second look follows a record that was written for the machine.
+    for _ in 0..2 {
+        let route = route(shared, &shared.node.lock(), &report);
+        match route {
+            Route::Here(part) => return answer(shared, part, &report),
+            Route::There(member) => {
+                return Response::cbor(
+                    421,
+                    &Redirect {
+                        foreman: Some(member),
+                    },
+                );
+            }
+            Route::Nobody => return Response::later(503, 1),
+            Route::Record(part, part_stamp, stamp, record, term) => {
+                if !write_record(shared, &report, part, part_stamp, stamp, record, term) {
+                    return Response::later(503, 1);
+                }
+            }
+        }
+    }
+    Response::later(503, 1)
+}
+
+fn route(shared: &Shared, node: &Node, report: &Report) -> Route {
+    let now = shared.clock.now();
+    if !node.viewed {
+        return Route::Nobody;
+    }
+    let held = |p: &PartId| node.owned.get(p).filter(|o| o.loaded && !o.leaving);
+    match node.view.machines.get(&report.machine) {
+        Some((record, stamp)) => {
+            let part = record.part;
+            if let Some(owned) = held(&part).filter(|_| node.may_answer(now)) {
+                if record.endpoint.is_empty() && node.may_act(now) {
+                    let record = Some(record.clone());
+                    return Route::Record(part, owned.stamp, *stamp, record, Term(0));
+                }
+                return Route::Here(part);
+            }
+            match node.view.parts.get(&part) {
+                Some((holder, _)) if holder.member != shared.me => {
+                    Route::There(holder.member.clone())
+                }
+                _ => Route::Nobody,
+            }
+        }
+        // A machine nobody knows is adopted by whichever owner hears it: no
+        // owner launches before the record is written, so it holds no task.
+        None => {
+            if node.may_act(now)
+                && let Some((part, owned)) = node
+                    .owned
+                    .iter()
+                    .filter(|(_, o)| o.loaded && !o.leaving)
+                    .min_by_key(|(_, o)| o.ledger.machines.len())
+            {
+                let term = owned.ledger.term.max(report.term);
+                return Route::Record(*part, owned.stamp, Stamp(0), None, term);
+            }
+            let other = node
+                .view
+                .parts
+                .values()
+                .find(|(h, _)| h.member != shared.me);
+            match other {
+                Some((holder, _)) => Route::There(holder.member.clone()),
+                None => Route::Nobody,
+            }
+        }
+    }
+}
+
+/// Commits a machine's record with its worker's address, before its first
+/// launch.
+fn write_record(
+    shared: &Shared,
+    report: &Report,
+    part: PartId,
+    part_stamp: Stamp,
+    stamp: Stamp,
+    record: Option<MachineRecord>,
+    term: Term,
+) -> bool {
+    let adopted = record.is_none();
+    let mut record = record.unwrap_or_else(|| MachineRecord {
+        part,
+        term,
+        flavor: report.flavor.clone(),
+        zone: report.zone.clone(),
+        spot: report.spot,
+        endpoint: String::new(),
+        retiring: false,
+    });
+    record.endpoint.clone_from(&report.endpoint);
+    let key = machine_key(&report.machine);
+    let commit = Commit::default()
+        .when(key.clone(), stamp)
+        .when(part_key(part), part_stamp)
+        .write(key, &record);
+    match shared.state.commit(Class::Owner, &commit) {
+        Ok(Outcome::Applied(stamp)) => {
+            let now = shared.clock.now();
+            shared
+                .node
+                .lock()
+                .put_machine(&report.machine, record, stamp, now);
+            if adopted {
+                log::info!("part {part} adopted {}", report.machine);
+            }
+            true
+        }
+        Ok(Outcome::Conflict) => false,
+        Err(e) => {
+            log::debug!("record of {}: {e}", report.machine);
+            false
+        }
+    }
+}
+
+fn answer(shared: &Shared, part: PartId, report: &Report) -> Response {
+    let now = shared.clock.now();
+    let mut node = shared.node.lock();
+    let config = Arc::clone(&node.config);
+    let launch = node.may_act(now);
+    let Some(owned) = node.owned.get_mut(&part) else {
+        return Response::later(503, 1);
+    };
+    match owned.ledger.report(report, false, now, &config) {
+        Taken::Fresh => {}
+        // Its worker has given this report up and drops the answer.
+        Taken::Stale | Taken::Unknown => return Response::later(503, 1),
+    }
+    let orders = owned.ledger.answer(&report.machine, launch, now, &config);
+    let Some(machine) = owned.ledger.machines.get(&report.machine) else {
+        return Response::later(503, 1);
+    };
+    let term = machine.term(owned.ledger.term);
+    drop(node);
+    if !orders.is_empty() {
+        log::debug!("{}: {orders:?}", report.machine);
+    }
+    Response::cbor(200, &ReportAnswer { term, orders })
+}
