--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -107,7 +107,10 @@
         }
         let mut left = waiting;
         let mut zones = Vec::new();
-        let mut free: Vec<(&str, u32)> = at.into_iter().map(|(z, n)| (z, spec.zone_limit().saturating_sub(n))).collect();
+        let mut free: Vec<(&str, u32)> = at
+            .into_iter()
+            .map(|(z, n)| (z, spec.zone_limit().saturating_sub(n)))
+            .collect();
         for flavor in self.flavor_zones() {
             if !free.iter().any(|(z, _)| *z == flavor) {
                 free.push((flavor, spec.zone_limit()));
@@ -165,9 +168,7 @@
     /// Attempts that were sent or run now, for logs.
     pub fn load(&self) -> (usize, usize) {
         let slots = || self.machines.values().flat_map(|m| &m.slots);
-        let running = slots()
-            .filter(|s| s.state == SlotState::Running)
-            .count();
+        let running = slots().filter(|s| s.state == SlotState::Running).count();
         (slots().filter(|s| s.holds_room()).count(), running)
     }
 }
--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -70,10 +70,10 @@
             let key = job_key(self.part, id);
             commit = commit.when(key.clone(), job.stamp);
             if over {
-                commit = commit.delete(key).when(over_key(id), Stamp(0)).write(
-                    over_key(id),
-                    &over_record(job, JobStatus::Done),
-                );
+                commit = commit
+                    .delete(key)
+                    .when(over_key(id), Stamp(0))
+                    .write(over_key(id), &over_record(job, JobStatus::Done));
                 for (&chunk, &stamp) in &job.chunk_stamps {
                     let key = chunk_key(self.part, id, chunk);
                     commit = commit.when(key.clone(), stamp).delete(key);
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -65,7 +65,9 @@
     }
 
     fn open(&self, kind: &Kind, now: Moment) -> bool {
-        self.refused.get(kind).is_none_or(|(_, until)| now >= *until)
+        self.refused
+            .get(kind)
+            .is_none_or(|(_, until)| now >= *until)
     }
 }
 
@@ -121,7 +123,9 @@
     for id in seen.records.keys() {
         memory.first_seen.entry(id.clone()).or_insert(now);
     }
-    memory.moved.retain(|_, at| now.since(*at) < Duration::from_secs(10));
+    memory
+        .moved
+        .retain(|_, at| now.since(*at) < Duration::from_secs(10));
 
     let digests: BTreeMap<&MachineId, (&MachineDigest, PartId)> = seen
         .parts
@@ -141,7 +145,10 @@
         if digest.is_some_and(|(m, _)| m.unfit) {
             continue;
         }
-        let age = memory.first_seen.get(id).map_or(0.0, |at| now.since(*at).as_secs_f64());
+        let age = memory
+            .first_seen
+            .get(id)
+            .map_or(0.0, |at| now.since(*at).as_secs_f64());
         let free = match digest {
             Some((m, _)) if m.silent_s >= 0.0 => {
                 // A machine that fell silent promises nothing.
@@ -283,7 +290,11 @@
                 if !allows(demand, &kind) || !memory.open(&kind, now) {
                     continue;
                 }
-                let price = if spot { flavor.spot_price.0 } else { flavor.price.0 };
+                let price = if spot {
+                    flavor.spot_price.0
+                } else {
+                    flavor.price.0
+                };
                 // Equal prices: the zone with fewer rentals of this round.
                 let planned: u32 = hires
                     .iter()
@@ -393,9 +404,10 @@
     let mut gone = Vec::new();
     for id in seen.records.keys().filter(|id| !listed.contains(id)) {
         let since = *memory.missed_since.entry(id.clone()).or_insert(now);
-        let known = memory.first_seen.get(id).is_some_and(|at| {
-            now.since(*at) > Duration::from_secs(30)
-        });
+        let known = memory
+            .first_seen
+            .get(id)
+            .is_some_and(|at| now.since(*at) > Duration::from_secs(30));
         if known && silent.contains(id) && now.since(since) > Duration::from_secs(20) {
             gone.push(id.clone());
         }
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -234,7 +234,14 @@
 
     /// A job's record appeared or changed. `old`: an earlier owner may have
     /// launched it.
-    pub fn put_job(&mut self, record: JobRecord, stamp: Stamp, old: bool, now: Moment, config: &Config) {
+    pub fn put_job(
+        &mut self,
+        record: JobRecord,
+        stamp: Stamp,
+        old: bool,
+        now: Moment,
+        config: &Config,
+    ) {
         let id = record.spec.id.clone();
         let tasks = record.spec.tasks;
         let mut done = TaskSet::new();
@@ -275,7 +282,14 @@
     }
 
     /// A continuation of a job's done tasks appeared or changed.
-    pub fn put_chunk(&mut self, id: &JobId, chunk: u32, record: &ChunkRecord, stamp: Stamp, config: &Config) {
+    pub fn put_chunk(
+        &mut self,
+        id: &JobId,
+        chunk: u32,
+        record: &ChunkRecord,
+        stamp: Stamp,
+        config: &Config,
+    ) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -308,7 +322,14 @@
     /// A machine's record appeared or changed. `inherited`: an earlier owner
     /// may have launched tasks on it, which it did only if the record holds
     /// the worker's address.
-    pub fn put_machine(&mut self, id: &MachineId, record: MachineRecord, stamp: Stamp, inherited: bool, now: Moment) {
+    pub fn put_machine(
+        &mut self,
+        id: &MachineId,
+        record: MachineRecord,
+        stamp: Stamp,
+        inherited: bool,
+        now: Moment,
+    ) {
         let unheard = inherited && !record.endpoint.is_empty();
         match self.machines.get_mut(id) {
             Some(machine) if stamp < machine.stamp => {}
@@ -438,7 +459,8 @@
                 .any(|t| t.task == slot.task && t.attempt == slot.attempt);
             let maybe_coming = match slot.state {
                 SlotState::Sent { session, seq } => {
-                    reply && session == report.session || (report.session, report.seq) <= (session, seq)
+                    reply && session == report.session
+                        || (report.session, report.seq) <= (session, seq)
                 }
                 _ => false,
             };
@@ -576,7 +598,13 @@
 
     /// Orders for a machine whose report has just been taken. `launch`: the
     /// lease surely lasts until the answer is sent.
-    pub fn answer(&mut self, id: &MachineId, launch: bool, now: Moment, config: &Config) -> Vec<Order> {
+    pub fn answer(
+        &mut self,
+        id: &MachineId,
+        launch: bool,
+        now: Moment,
+        config: &Config,
+    ) -> Vec<Order> {
         if launch {
             self.replan(now, config);
         }
@@ -748,7 +776,9 @@
         on.into_iter()
             .filter_map(|m| self.machines.get(m))
             .flat_map(|m| &m.slots)
-            .filter(|s| &s.task.job == id && matches!(s.state, SlotState::Running | SlotState::Saving))
+            .filter(|s| {
+                &s.task.job == id && matches!(s.state, SlotState::Running | SlotState::Saving)
+            })
             .count() as u32
     }
 }
@@ -767,9 +797,9 @@
         let (leg, attempt) = (slot.task.clone(), slot.attempt);
         match (slot.state, slot.halt) {
             (SlotState::Exited { done }, _) => {
-                let committed = jobs
-                    .get(&leg.job)
-                    .is_none_or(|job| job.spec.shape == Shape::Service || job.committed.contains(leg.index));
+                let committed = jobs.get(&leg.job).is_none_or(|job| {
+                    job.spec.shape == Shape::Service || job.committed.contains(leg.index)
+                });
                 if !done || committed {
                     orders.push(Order::Clear { leg, attempt });
                 }
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -38,10 +38,7 @@
     fn allows(&self, spec: &JobSpec) -> bool {
         (spec.spot || !self.spot)
             && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.contains(&self.flavor))
+            && spec.types.as_ref().is_none_or(|t| t.contains(&self.flavor))
     }
 
     /// Seconds until a task with this image could start.
@@ -110,10 +107,7 @@
 impl PartLedger {
     /// Makes the plan anew if it is out of date.
     pub(crate) fn replan(&mut self, now: Moment, config: &Config) {
-        if self
-            .planned_at
-            .is_some_and(|at| now.since(at) < PLAN_AGE)
-        {
+        if self.planned_at.is_some_and(|at| now.since(at) < PLAN_AGE) {
             return;
         }
         self.planned_at = Some(now);
@@ -240,16 +234,16 @@
     }
 
     /// Whether the part's grant lets the team take these slots too.
-    fn granted(
-        &self,
-        spec: &JobSpec,
-        used: &BTreeMap<String, Slots>,
-        config: &Config,
-    ) -> bool {
+    fn granted(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>, config: &Config) -> bool {
         let Some(team) = config.teams.get(&spec.team) else {
             return false;
         };
-        let grant = self.grants.teams.get(&spec.team).copied().unwrap_or_default();
+        let grant = self
+            .grants
+            .teams
+            .get(&spec.team)
+            .copied()
+            .unwrap_or_default();
         within(
             used.get(&spec.team).copied().unwrap_or_default(),
             Room::of_task(spec).slots(),
--- a/crates/pulleywood-core/src/room.rs
+++ b/crates/pulleywood-core/src/room.rs
@@ -104,15 +104,6 @@
     let fits = |used: f64, need: f64, limit: f64, published: f64| {
         published <= 0.0 || used + need <= limit + SLACK
     };
-    fits(
-        used.cpus.0,
-        need.cpus.0,
-        limit.cpus.0,
-        published.cpus.0,
-    ) && fits(
-        used.gpus.0,
-        need.gpus.0,
-        limit.gpus.0,
-        published.gpus.0,
-    )
+    fits(used.cpus.0, need.cpus.0, limit.cpus.0, published.cpus.0)
+        && fits(used.gpus.0, need.gpus.0, limit.gpus.0, published.gpus.0)
 }
--- a/crates/pulleywood-net/src/client.rs
+++ b/crates/pulleywood-net/src/client.rs
@@ -106,7 +106,11 @@
         };
         let mut request = Vec::with_capacity(160 + body.map_or(0, <[u8]>::len));
         // Writing to a Vec cannot fail.
-        let _ = write!(request, "{method} {path} HTTP/1.1\r\nHost: {}\r\n", self.addr);
+        let _ = write!(
+            request,
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\n",
+            self.addr
+        );
         if let Some(body) = body {
             let _ = write!(
                 request,
@@ -133,16 +137,11 @@
         return false;
     }
     let mut byte = [0];
-    let quiet =
-        matches!(stream.peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock);
+    let quiet = matches!(stream.peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock);
     quiet && stream.set_nonblocking(false).is_ok()
 }
 
-fn exchange(
-    conn: &mut Conn,
-    request: &[u8],
-    deadline: Instant,
-) -> std::io::Result<(Answer, bool)> {
+fn exchange(conn: &mut Conn, request: &[u8], deadline: Instant) -> std::io::Result<(Answer, bool)> {
     conn.stream.set_write_timeout(Some(left(deadline)?))?;
     conn.stream.write_all(request)?;
     conn.buf.clear();
--- a/crates/pulleywood-net/src/cloud.rs
+++ b/crates/pulleywood-net/src/cloud.rs
@@ -51,9 +51,7 @@
         body: Option<&[u8]>,
         class: Class,
     ) -> Result<Answer, CloudError> {
-        self.budget
-            .take(class, 0)
-            .map_err(|_| CloudError::Budget)?;
+        self.budget.take(class, 0).map_err(|_| CloudError::Budget)?;
         match self.client.call(method, path, body, CALL_TIME) {
             Ok(a) if a.status == 200 => Ok(a),
             Ok(a) if a.status == 503 && holds(&a.body, "no capacity") => {
@@ -105,8 +103,8 @@
                 None,
                 Class::House,
             )?;
-            let page: RentalPage = cbor::decode(&answer.body)
-                .map_err(|e| CloudError::Unknown(e.to_string()))?;
+            let page: RentalPage =
+                cbor::decode(&answer.body).map_err(|e| CloudError::Unknown(e.to_string()))?;
             let empty = page.horses.is_empty();
             all.extend(page.horses);
             if !page.more || empty {
--- a/crates/pulleywood-net/src/peer.rs
+++ b/crates/pulleywood-net/src/peer.rs
@@ -64,7 +64,11 @@
         };
         let result = match exchange(&mut stream, ask, deadline) {
             // A kept connection may have been closed by a restart.
-            Err(e) if reused && e.kind() != ErrorKind::TimedOut && e.kind() != ErrorKind::WouldBlock => {
+            Err(e)
+                if reused
+                    && e.kind() != ErrorKind::TimedOut
+                    && e.kind() != ErrorKind::WouldBlock =>
+            {
                 stream = connect(self.addr, deadline)?;
                 exchange(&mut stream, ask, deadline)
             }
--- a/crates/pulleywood-net/src/server.rs
+++ b/crates/pulleywood-net/src/server.rs
@@ -214,7 +214,8 @@
     let mut buf: Vec<u8> = Vec::with_capacity(2048);
     let mut chunk = [0u8; 4096];
     loop {
-        let mut deadline: Option<Instant> = (!buf.is_empty()).then(|| Instant::now() + REQUEST_TIME);
+        let mut deadline: Option<Instant> =
+            (!buf.is_empty()).then(|| Instant::now() + REQUEST_TIME);
         let (head, length, close) = loop {
             match parse(&buf) {
                 Parsed::Whole {
@@ -367,11 +368,17 @@
     fn malformed_and_oversized_requests_are_refused() {
         let addr = serve(([127, 0, 0, 1], 0).into(), 8, Echo).unwrap();
         let cases = [
-            ("POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", "200"),
+            (
+                "POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+                "200",
+            ),
             ("garbage\r\n\r\n", "400"),
             ("POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"),
             ("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413"),
-            ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "411"),
+            (
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "411",
+            ),
         ];
         for (sent, status) in cases {
             let mut stream = TcpStream::connect(addr).unwrap();
--- a/crates/pulleywood-wire/src/job.rs
+++ b/crates/pulleywood-wire/src/job.rs
@@ -112,7 +112,10 @@
             ("crew", self.team.len() > 200),
             ("cargo", self.image.len() > 400),
         ];
-        cases.iter().find(|(_, wrong)| *wrong).map(|(name, _)| *name)
+        cases
+            .iter()
+            .find(|(_, wrong)| *wrong)
+            .map(|(name, _)| *name)
     }
 
     /// How many tasks one zone may hold.
--- a/crates/pulleywood-wire/src/state.rs
+++ b/crates/pulleywood-wire/src/state.rs
@@ -91,7 +91,12 @@
     }
 
     /// Adds a write attached to a lease.
-    pub fn hold<T: Serialize>(mut self, path: impl Into<String>, value: &T, permit: Permit) -> Self {
+    pub fn hold<T: Serialize>(
+        mut self,
+        path: impl Into<String>,
+        value: &T,
+        permit: Permit,
+    ) -> Self {
         self.changes.push(Change::Write {
             write: path.into(),
             value: crate::cbor::to_value(value),
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -95,8 +95,8 @@
         pulleywood_net::peer::serve(peer_listen, 32, move |ask| peers::answer(&own, ask))
             .map_err(io("cluster_listen"))?;
         let serve_on = address(&shared.settings.serve_on)?;
-        let serve_on = server::serve(serve_on, most, Front(Arc::clone(&shared)))
-            .map_err(io("serve_on"))?;
+        let serve_on =
+            server::serve(serve_on, most, Front(Arc::clone(&shared))).map_err(io("serve_on"))?;
         let threads: [(&str, fn(&Arc<Shared>)); 5] = [
             ("follow", follow::run),
             ("renew", owner::renew),
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -127,9 +127,9 @@
         return Ok(mine.then_some((holder.term, *stamp)));
     }
     let item = shared.state.get(Class::Owner, TERM)?;
-    let Some((last, term_stamp)) = item.and_then(|i| {
-        read::<TermRecord>(Some(&i.value), TERM).map(|r| (r.last, i.stamp))
-    }) else {
+    let Some((last, term_stamp)) =
+        item.and_then(|i| read::<TermRecord>(Some(&i.value), TERM).map(|r| (r.last, i.stamp)))
+    else {
         return Ok(None);
     };
     let term = Term(last.0 + 1);
@@ -275,9 +275,7 @@
         let keep = lag * 3 + Duration::from_secs(60);
         office.released.retain(|_, at| now.since(*at) < keep);
     }
-    let fresh = office
-        .listed_at
-        .is_some_and(|at| now.since(at) < every * 2);
+    let fresh = office.listed_at.is_some_and(|at| now.since(at) < every * 2);
     let list: Option<Vec<Rental>> = fresh.then(|| {
         office
             .list
@@ -448,9 +446,7 @@
     for batch in stored.chunks(ops) {
         let mut commit = Commit::default().when(ROLE, office.stamp);
         for (id, stamp) in batch {
-            commit = commit
-                .when(machine_key(id), *stamp)
-                .delete(machine_key(id));
+            commit = commit.when(machine_key(id), *stamp).delete(machine_key(id));
         }
         match shared.state.commit(Class::Owner, &commit) {
             Ok(Outcome::Applied(_)) => {
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -245,7 +245,11 @@
     fn share_usage(&mut self) {
         let mut elsewhere: BTreeMap<String, pulleywood_wire::record::Slots> = BTreeMap::new();
         for (digest, _) in self.digests.values() {
-            for part in digest.parts.iter().filter(|p| !self.owned.contains_key(&p.part)) {
+            for part in digest
+                .parts
+                .iter()
+                .filter(|p| !self.owned.contains_key(&p.part))
+            {
                 for (team, slots) in &part.used {
                     pulleywood_core::room::add(elsewhere.entry(team.clone()).or_default(), *slots);
                 }
@@ -332,13 +336,21 @@
     }
 
     /// A machine's record as stored.
-    pub fn put_machine(&mut self, id: &MachineId, record: MachineRecord, stamp: Stamp, now: Moment) {
+    pub fn put_machine(
+        &mut self,
+        id: &MachineId,
+        record: MachineRecord,
+        stamp: Stamp,
+        now: Moment,
+    ) {
         if self.view.machines.get(id).is_some_and(|(_, s)| *s >= stamp) {
             return;
         }
         for (part, owned) in &mut self.owned {
             if *part == record.part {
-                owned.ledger.put_machine(id, record.clone(), stamp, false, now);
+                owned
+                    .ledger
+                    .put_machine(id, record.clone(), stamp, false, now);
             } else if owned.ledger.machines.contains_key(id) {
                 // Only this owner's own transaction moves it away, while idle.
                 owned.ledger.drop_machine(id);
@@ -358,7 +370,10 @@
 
 impl Owned {
     /// A job's key changed. `old`: an earlier owner may have launched it.
-    #[expect(clippy::too_many_arguments, reason = "one call site passes an event taken apart")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one call site passes an event taken apart"
+    )]
     pub fn job_event(
         &mut self,
         path: &str,
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -63,7 +63,8 @@
         let holder = {
             let node = shared.node.lock();
             node.viewed.then(|| {
-                let mine = |h: &&(Holder, Stamp)| h.0.member == shared.me && h.0.boot != shared.boot;
+                let mine =
+                    |h: &&(Holder, Stamp)| h.0.member == shared.me && h.0.boot != shared.boot;
                 let part = node.view.parts.iter().find(|(_, h)| mine(h));
                 part.map(|(p, _)| part_key(*p)).or_else(|| {
                     node.view
@@ -128,9 +129,7 @@
             log::debug!("parts: {e}");
         }
         let mut node = shared.node.lock();
-        shared
-            .bell
-            .wait_for(&mut node, Duration::from_millis(200));
+        shared.bell.wait_for(&mut node, Duration::from_millis(200));
         drop(node);
         std::thread::sleep(Duration::from_millis(30));
     }
@@ -243,10 +242,7 @@
     let (term, term_stamp) = newest_term(shared)?;
     let last = shared.state.get(Class::Owner, &last_key(part))?;
     let (before, last_stamp) = match &last {
-        Some(item) => (
-            read::<Holder>(Some(&item.value), &item.path),
-            item.stamp,
-        ),
+        Some(item) => (read::<Holder>(Some(&item.value), &item.path), item.stamp),
         None => (None, Stamp(0)),
     };
     let term = Term(term.0 + 1);
@@ -282,7 +278,9 @@
         // If it was applied all the same, the key names this process: it is
         // found below, by reading it.
         Err(StateError::Unknown(_)) => match shared.state.get(Class::Owner, &part_key(part))? {
-            Some(item) if read::<Holder>(Some(&item.value), &item.path).as_ref() == Some(&holder) => {
+            Some(item)
+                if read::<Holder>(Some(&item.value), &item.path).as_ref() == Some(&holder) =>
+            {
                 item.stamp
             }
             _ => return Ok(()),
@@ -332,8 +330,8 @@
 fn load(shared: &Arc<Shared>, part: PartId, part_stamp: Stamp) -> Result<(), StateError> {
     let (jobs, machines) = loop {
         let jobs = shared.state.list(Class::Owner, &jobs_prefix(part));
-        let machines = jobs
-            .and_then(|jobs| Ok((jobs, shared.state.list(Class::Owner, "c/machine/")?)));
+        let machines =
+            jobs.and_then(|jobs| Ok((jobs, shared.state.list(Class::Owner, "c/machine/")?)));
         match machines {
             Ok((jobs, machines)) => break (jobs, machines),
             Err(e) => {
@@ -377,7 +375,16 @@
         // Continuations sort after their job's record.
         for item in &jobs.0 {
             if let Some(Key::Job(_, id, chunk)) = Key::parse(&item.path) {
-                owned.job_event(&item.path, &id, chunk, Some(&item.value), item.stamp, true, now, &config);
+                owned.job_event(
+                    &item.path,
+                    &id,
+                    chunk,
+                    Some(&item.value),
+                    item.stamp,
+                    true,
+                    now,
+                    &config,
+                );
             }
         }
         owned.loaded = true;
@@ -559,7 +566,10 @@
             if let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) {
                 owned.ledger.batch_applied(&batch, stamp);
             }
-            log::debug!("part {part}: {} jobs' done tasks at {stamp}", batch.jobs.len());
+            log::debug!(
+                "part {part}: {} jobs' done tasks at {stamp}",
+                batch.jobs.len()
+            );
         }
         // A conflict, or no answer: what is stored decides, not what was sent.
         Ok(Outcome::Conflict) | Err(StateError::Unknown(_)) => {
@@ -595,7 +605,16 @@
             && job == *id
         {
             live = true;
-            owned.job_event(&item.path, id, chunk, Some(&item.value), item.stamp, false, now, &config);
+            owned.job_event(
+                &item.path,
+                id,
+                chunk,
+                Some(&item.value),
+                item.stamp,
+                false,
+                now,
+                &config,
+            );
         }
     }
     if !live {
@@ -656,7 +675,8 @@
             log::info!("part {part} let {id} go: {to:?}");
             true
         }
-        Ok(Outcome::Conflict) | Err(StateError::NotSent(_) | StateError::Refused(_) | StateError::Budget(_)) => {
+        Ok(Outcome::Conflict)
+        | Err(StateError::NotSent(_) | StateError::Refused(_) | StateError::Budget(_)) => {
             stay(shared, part, id);
             false
         }
@@ -692,8 +712,7 @@
         let Some(item) = item else {
             return;
         };
-        let Some(record) =
-            read::<pulleywood_wire::record::MachineRecord>(Some(&item.value), &key)
+        let Some(record) = read::<pulleywood_wire::record::MachineRecord>(Some(&item.value), &key)
         else {
             return;
         };
--- a/crates/pulleywood/src/policy.rs
+++ b/crates/pulleywood/src/policy.rs
@@ -28,8 +28,7 @@
 /// Runs a policy file over the defaults.
 pub fn load(path: &Path, settings: &Settings) -> Result<Policy, PolicyError> {
     let name = path.display().to_string();
-    let text =
-        std::fs::read_to_string(path).map_err(|e| PolicyError::Read(name.clone(), e))?;
+    let text = std::fs::read_to_string(path).map_err(|e| PolicyError::Read(name.clone(), e))?;
     run(&text, &name, settings)
 }
 
@@ -91,11 +90,7 @@
         .map(|t| t.name.as_str())
         .collect();
     globals.set("teams", teams.clone()).map_err(script)?;
-    let result: Table = lua
-        .load(text)
-        .set_name(name)
-        .eval()
-        .map_err(script)?;
+    let result: Table = lua.load(text).set_name(name).eval().map_err(script)?;
     for pair in result.pairs::<String, Value>() {
         let (key, value) = pair.map_err(script)?;
         let number = match &value {
--- a/crates/pulleywood/src/settings.rs
+++ b/crates/pulleywood/src/settings.rs
@@ -20,8 +20,7 @@
 /// Reads and checks a settings file.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
     let name = path.display().to_string();
-    let text =
-        std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
+    let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
     parse(&text, &name)
 }
 
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -264,9 +264,7 @@
                 && let Some(more) = read::<ChunkRecord>(Some(&item.value), &item.path)
             {
                 done.add_chunk(&more.done, n, chunk, tasks);
-                commit = commit
-                    .when(item.path.clone(), item.stamp)
-                    .delete(item.path);
+                commit = commit.when(item.path.clone(), item.stamp).delete(item.path);
             }
         }
     }
