--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -170,7 +170,7 @@
         }
         let tasks = match spec.shape {
             Shape::Array => 1.0,
-            Shape::Service => f64::from(spec.tasks),
+            Shape::Gang | Shape::Service => f64::from(spec.tasks),
         };
         let need = Room {
             cpus: spec.cpus.0 * tasks,
--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -54,7 +54,7 @@
         let spec = &job.spec;
         let zones = self.zones_left(job);
         let work_s = match spec.shape {
-            Shape::Array => spec.estimate_s.0,
+            Shape::Array | Shape::Gang => spec.estimate_s.0,
             Shape::Service => 0.0,
         };
         for (zones, count) in zones {
@@ -97,7 +97,7 @@
             return vec![(Vec::new(), waiting)];
         }
         let mut at: BTreeMap<&str, u32> = BTreeMap::new();
-        for id in job.active.values() {
+        for (id, _) in job.active.values() {
             if let Some(m) = self.machines.get(id) {
                 *at.entry(&m.record.zone).or_insert(0) += 1;
             }
--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::ledger::{Job, PartLedger};
 use crate::room::Room;
-use pulleywood_wire::job::{JobStatus, Shape};
+use pulleywood_wire::job::JobStatus;
 use pulleywood_wire::record::{
     ChunkRecord, JobRecord, OverRecord, chunk_key, job_key, over_key, part_key,
 };
@@ -54,7 +54,7 @@
                 .iter()
                 .filter(|&i| !job.committed.contains(i))
                 .collect();
-            let over = job.spec.shape == Shape::Array && job.done.len() >= job.spec.tasks;
+            let over = job.spec.shape.completes() && job.done.len() >= job.spec.tasks;
             if tasks.is_empty() && !over {
                 continue;
             }
@@ -140,7 +140,7 @@
         self.dirty_jobs.iter().any(|id| {
             self.jobs.get(id).is_some_and(|job| {
                 job.done.len() > job.committed.len()
-                    || (job.spec.shape == Shape::Array && job.done.len() >= job.spec.tasks)
+                    || (job.spec.shape.completes() && job.done.len() >= job.spec.tasks)
             })
         })
     }
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -38,7 +38,7 @@
     /// Tasks to launch.
     pub waiting: TaskSet,
     /// Tasks that run or perhaps run, and where.
-    pub active: BTreeMap<u32, MachineId>,
+    pub active: BTreeMap<u32, (MachineId, Attempt)>,
     /// It may have been launched by an earlier owner.
     pub old: bool,
     /// Machines on which it failed since it last succeeded anywhere.
@@ -369,16 +369,17 @@
     pub fn drop_machine(&mut self, id: &MachineId) {
         if let Some(machine) = self.machines.remove(id) {
             for slot in &machine.slots {
-                self.requeue(id, &slot.task);
+                self.requeue(&slot.task, slot.attempt);
             }
         }
         self.disturb();
     }
 
-    /// The task no longer holds a slot on this machine.
-    fn requeue(&mut self, machine: &MachineId, task: &TaskId) {
+    /// This attempt is surely over. Only the attempt counts, not the machine:
+    /// an older one that is forgotten there says nothing of a newer one.
+    fn requeue(&mut self, task: &TaskId, attempt: Attempt) {
         if let Some(job) = self.jobs.get_mut(&task.job)
-            && job.active.get(&task.index) == Some(machine)
+            && job.active.get(&task.index).is_some_and(|(_, a)| *a == attempt)
         {
             job.active.remove(&task.index);
             if !job.done.contains(task.index) {
@@ -466,13 +467,13 @@
             };
             let keep = listed || maybe_coming;
             if !keep {
-                gone.push(slot.task.clone());
+                gone.push((slot.task.clone(), slot.attempt));
             }
             keep
         });
-        for task in gone {
+        for (task, attempt) in gone {
             changed = true;
-            self.requeue(id, &task);
+            self.requeue(&task, attempt);
         }
         if machine.slots.iter().any(Slot::holds_room) {
             machine.idle_since = None;
@@ -499,7 +500,8 @@
                 && !job.done.contains(seen.task.index)
                 && !job.active.contains_key(&seen.task.index)
             {
-                job.active.insert(seen.task.index, machine.clone());
+                let active = (machine.clone(), seen.attempt);
+                job.active.insert(seen.task.index, active);
                 job.waiting.remove(seen.task.index);
                 halt = None;
             }
@@ -528,7 +530,7 @@
         let slot = &mut machine.slots[at];
         let before = slot.state;
         let after = match seen.state {
-            TaskState::Fetching => SlotState::Fetching,
+            TaskState::Fetching | TaskState::Gathering => SlotState::Fetching,
             TaskState::Running => SlotState::Running,
             TaskState::Saving => SlotState::Saving,
             TaskState::Exited => SlotState::Exited {
@@ -542,7 +544,7 @@
         if after == SlotState::Running {
             slot.running_since.get_or_insert(now);
         }
-        let task = slot.task.clone();
+        let (task, attempt) = (slot.task.clone(), slot.attempt);
         let spec = slot.spec.clone();
         if let Some(spec) = &spec
             && matches!(after, SlotState::Running | SlotState::Exited { done: true })
@@ -559,7 +561,7 @@
                     job.failures = 0;
                     job.failed_on.clear();
                     // A replica that ends by itself is started again.
-                    if job.spec.shape == Shape::Array && task.index < job.spec.tasks {
+                    if job.spec.shape.completes() && task.index < job.spec.tasks {
                         job.waiting.remove(task.index);
                         if job.done.insert(task.index) {
                             self.dirty_jobs.insert(task.job.clone());
@@ -592,7 +594,7 @@
             }
             _ => {}
         }
-        self.requeue(id, &task);
+        self.requeue(&task, attempt);
         true
     }
 
@@ -637,7 +639,7 @@
             };
             self.attempts += 1;
             job.waiting.remove(task.index);
-            job.active.insert(task.index, id.clone());
+            job.active.insert(task.index, (id.clone(), attempt));
             machine.slots.push(Slot {
                 task: task.clone(),
                 attempt,
@@ -667,7 +669,7 @@
         let lapse = config.surely_lapsed();
         let mut gone = Vec::new();
         let mut changed = false;
-        for (id, machine) in &mut self.machines {
+        for machine in self.machines.values_mut() {
             let silent = machine.answered.is_none_or(|at| now >= at + lapse);
             if machine.unheard && silent && now >= self.silent_until {
                 machine.unheard = false;
@@ -678,7 +680,7 @@
                 machine.confirmed = false;
                 machine.idle_since = None;
                 for slot in machine.slots.drain(..) {
-                    gone.push((id.clone(), slot.task));
+                    gone.push((slot.task, slot.attempt));
                 }
             }
             if let Some(end) = machine.taken_at {
@@ -696,8 +698,8 @@
                 changed = true;
             }
         }
-        for (id, task) in gone {
-            self.requeue(&id, &task);
+        for (task, attempt) in gone {
+            self.requeue(&task, attempt);
             changed = true;
         }
         if changed {
@@ -772,7 +774,7 @@
         let Some(job) = self.jobs.get(id) else {
             return 0;
         };
-        let on: BTreeSet<&MachineId> = job.active.values().collect();
+        let on: BTreeSet<&MachineId> = job.active.values().map(|(m, _)| m).collect();
         on.into_iter()
             .filter_map(|m| self.machines.get(m))
             .flat_map(|m| &m.slots)
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -80,7 +80,7 @@
 fn by_zone(job: &Job, machines: &BTreeMap<MachineId, Machine>) -> BTreeMap<String, u32> {
     let mut zones = BTreeMap::new();
     if job.spec.one_zone || job.spec.spread {
-        for id in job.active.values() {
+        for (id, _) in job.active.values() {
             if let Some(machine) = machines.get(id) {
                 *zones.entry(machine.record.zone.clone()).or_insert(0) += 1;
             }
@@ -266,6 +266,17 @@
         let spec = &job.spec;
         let need = Room::of_task(spec);
         let mut zones = by_zone(job, &self.machines);
+        if spec.shape == Shape::Gang {
+            // All or nothing: a part of a gang would only wait for the rest.
+            let room: u32 = sites
+                .iter()
+                .filter(|s| s.allows(spec) && !job.failed_on.contains(&s.id))
+                .map(|s| s.free.times(&need))
+                .sum();
+            if room < job.waiting.len() {
+                return false;
+            }
+        }
         for index in job.waiting.iter() {
             if !self.granted(spec, used, config) {
                 // More room would not help.
--- a/crates/pulleywood-wire/src/job.rs
+++ b/crates/pulleywood-wire/src/job.rs
@@ -10,10 +10,21 @@
 pub enum Shape {
     /// Independent tasks that each run to completion.
     Array,
+    /// Tasks that run to completion together. The protocol's text leaves it
+    /// out; see the project's open questions.
+    #[serde(rename = "ensemble")]
+    Gang,
     /// Replicas that run until the job is cancelled.
     Service,
 }
 
+impl Shape {
+    /// Its tasks run to completion.
+    pub fn completes(self) -> bool {
+        self != Shape::Service
+    }
+}
+
 /// A job's priority; later variants come first when room is short.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/pulleywood-wire/src/worker.rs
+++ b/crates/pulleywood-wire/src/worker.rs
@@ -64,6 +64,8 @@
 pub enum TaskState {
     /// Waiting for its image.
     Fetching,
+    /// Waiting for the rest of its gang.
+    Gathering,
     /// Running.
     Running,
     /// Saving after a halt.
