--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -301,6 +301,7 @@
             parts: &parts,
             list: list.as_deref(),
         };
+        log::debug!("{}", fleet::summary(&node.config, &seen));
         fleet::decide(&node.config, &mut office.memory, &seen)
     };
     for action in actions {
