Choose a job's part by room, and lend waiting tasks to parts with room

Jobs keep their key by hash, but their record names the part that runs them, chosen at acceptance by room less backlog; and a part lends waiting tasks to one with room by a commit on the job's stamp and its own part's, so that its share shrinks before the other's grows. Excluded: team limits and image locality (no grant was short, sites were free).

--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -77,6 +77,8 @@
     pub cancel: Duration,
     /// Changes a transaction.
     pub txn_ops: usize,
+    /// How many parts there are.
+    pub parts: u32,
     /// Tasks that one record of done tasks covers.
     pub chunk: u32,
     /// Zones.
@@ -114,6 +116,7 @@
             lease: secs(cluster.workers.lease_s),
             cancel: secs(cluster.workers.cancel_s),
             txn_ops: cluster.state.txn_ops as usize,
+            parts: 0,
             chunk: chunk_tasks(cluster.state.value_kb),
             zones: cluster.zones.clone(),
             teams,
--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -68,12 +68,13 @@
                 rank: spec.rank,
                 work_s,
                 count,
+                free: job.may_be_lent(),
             };
             let same = demand.iter_mut().find(|d| {
                 (d.cpus, d.gpus, d.memory_gb) == (item.cpus, item.gpus, item.memory_gb)
                     && d.types == item.types
                     && d.zones == item.zones
-                    && (d.spot, d.rank) == (item.spot, item.rank)
+                    && (d.spot, d.rank, d.free) == (item.spot, item.rank, item.free)
             });
             match same {
                 Some(d) => {
--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -5,9 +5,7 @@
 use crate::ledger::{Job, PartLedger};
 use crate::room::Room;
 use pulleywood_wire::job::JobStatus;
-use pulleywood_wire::record::{
-    ChunkRecord, JobRecord, OverRecord, chunk_key, job_key, over_key, part_key,
-};
+use pulleywood_wire::record::{ChunkRecord, OverRecord, chunk_key, job_key, over_key, part_key};
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{JobId, Stamp};
 use std::collections::BTreeSet;
@@ -55,10 +53,13 @@
                 .filter(|&i| !job.committed.contains(i))
                 .collect();
             let over = job.spec.shape.completes() && job.done.len() >= job.spec.tasks;
-            if tasks.is_empty() && !over {
+            if tasks.is_empty() && !over && !job.touch {
                 continue;
             }
-            let chunks: BTreeSet<u32> = tasks.iter().map(|i| i / config.chunk).collect();
+            let mut chunks: BTreeSet<u32> = tasks.iter().map(|i| i / config.chunk).collect();
+            if job.touch {
+                chunks.insert(0);
+            }
             let ops = if over {
                 2 + job.chunk_stamps.len()
             } else {
@@ -67,7 +68,7 @@
             if commit.changes.len() + ops > config.txn_ops || bytes > MAX_BYTES {
                 break;
             }
-            let key = job_key(self.part, id);
+            let key = job_key(id.part(config.parts), id);
             commit = commit.when(key.clone(), job.stamp);
             if over {
                 commit = commit
@@ -75,7 +76,7 @@
                     .when(over_key(id), Stamp(0))
                     .write(over_key(id), &over_record(job, JobStatus::Done));
                 for (&chunk, &stamp) in &job.chunk_stamps {
-                    let key = chunk_key(self.part, id, chunk);
+                    let key = chunk_key(id.part(config.parts), id, chunk);
                     commit = commit.when(key.clone(), stamp).delete(key);
                 }
             } else {
@@ -83,14 +84,9 @@
                     let done = job.done.chunk_text(chunk, config.chunk);
                     bytes += done.len() + 700;
                     if chunk == 0 {
-                        let record = JobRecord {
-                            spec: (*job.spec).clone(),
-                            at_ms: job.at_ms,
-                            done,
-                        };
-                        commit = commit.write(key.clone(), &record);
+                        commit = commit.write(key.clone(), &job.record(done));
                     } else {
-                        let key = chunk_key(self.part, id, chunk);
+                        let key = chunk_key(id.part(config.parts), id, chunk);
                         let stamp = job.chunk_stamps.get(&chunk).copied().unwrap_or_default();
                         commit = commit
                             .when(key.clone(), stamp)
@@ -123,6 +119,9 @@
             }
             for &chunk in &done.chunks {
                 if chunk == 0 {
+                    if stamp > job.stamp {
+                        job.settle_offer();
+                    }
                     job.stamp = job.stamp.max(stamp);
                 } else {
                     let slot = job.chunk_stamps.entry(chunk).or_default();
@@ -139,7 +138,8 @@
     pub fn has_batch(&self) -> bool {
         self.dirty_jobs.iter().any(|id| {
             self.jobs.get(id).is_some_and(|job| {
-                job.done.len() > job.committed.len()
+                job.touch
+                    || job.done.len() > job.committed.len()
                     || (job.spec.shape.completes() && job.done.len() >= job.spec.tasks)
             })
         })
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -27,6 +27,8 @@
 pub enum Action {
     /// An idle machine goes to another part.
     Move(MachineId, PartId, PartId),
+    /// Waiting tasks of one shape are lent by one part to another.
+    Lend(PartId, PartId, Box<Demand>),
     /// A machine is given back once its part let it go.
     Retire(MachineId, PartId),
     /// Machines are rented for a part.
@@ -263,6 +265,22 @@
             bin.part = part;
             left = fill(&mut bins, left, demand, &need, |b| b.part == part);
         }
+        // Room left on machines that others use is used by lending them tasks.
+        if demand.free && left > 0 {
+            for other in seen.parts.keys().filter(|p| **p != part) {
+                let before = left;
+                left = fill(&mut bins, left, demand, &need, |b| {
+                    b.part == *other && up(b, &digests)
+                });
+                if left < before {
+                    let lent = Demand {
+                        count: before - left,
+                        ..demand.clone()
+                    };
+                    actions.push(Action::Lend(part, *other, Box::new(lent)));
+                }
+            }
+        }
         // The rest is rented.
         let mut guard = 0;
         while left > 0 && guard < 200 {
@@ -290,6 +308,14 @@
     actions
 }
 
+/// A machine that reports.
+fn up(bin: &Bin, digests: &BTreeMap<&MachineId, (&MachineDigest, PartId)>) -> bool {
+    bin.machine
+        .as_ref()
+        .and_then(|m| digests.get(m))
+        .is_some_and(|(d, _)| d.silent_s >= 0.0)
+}
+
 /// Fills bins with a demand, fullest first; what is left over.
 fn fill(
     bins: &mut [Bin],
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -12,7 +12,10 @@
 use crate::config::Config;
 use crate::room::{Room, add};
 use pulleywood_wire::job::Shape;
-use pulleywood_wire::record::{ChunkRecord, GrantRecord, JobRecord, MachineRecord, Slots, TaskSet};
+use pulleywood_wire::peer::Demand;
+use pulleywood_wire::record::{
+    ChunkRecord, GrantRecord, JobRecord, Loan, MachineRecord, Slots, TaskSet,
+};
 use pulleywood_wire::time::secs;
 use pulleywood_wire::worker::{Cause, Order, Report, TaskReport, TaskState};
 use pulleywood_wire::{Attempt, JobId, JobSpec, MachineId, Moment, PartId, Stamp, TaskId, Term};
@@ -31,6 +34,17 @@
     pub stamp: Stamp,
     /// Stamps of its continuations.
     pub chunk_stamps: BTreeMap<u32, Stamp>,
+    /// The part that accepted it, and its loans, as stored.
+    pub home: PartId,
+    /// Loans, as stored.
+    pub lent: Vec<Loan>,
+    /// Tasks that this part runs.
+    pub mine: TaskSet,
+    /// Tasks offered to another part under the record's present stamp: out of
+    /// use until that stamp has changed, which settles the offer.
+    pub offered: TaskSet,
+    /// Its record is to be rewritten as it is, to settle an offer.
+    pub touch: bool,
     /// Done tasks, committed or not.
     pub done: TaskSet,
     /// Done tasks as committed.
@@ -51,6 +65,57 @@
     pub seen: Moment,
 }
 
+impl Job {
+    /// A task of this part that neither runs, is done nor is on offer waits.
+    fn queue_one(&mut self, i: u32) {
+        let free = self.mine.contains(i)
+            && !self.done.contains(i)
+            && !self.offered.contains(i)
+            && !self.active.contains_key(&i);
+        if free {
+            self.waiting.insert(i);
+        } else {
+            self.waiting.remove(i);
+        }
+    }
+
+    fn queue(&mut self) {
+        let kept: Vec<u32> = self.waiting.iter().collect();
+        for i in kept {
+            self.queue_one(i);
+        }
+        let mine: Vec<u32> = self.mine.iter().collect();
+        for i in mine {
+            self.queue_one(i);
+        }
+    }
+
+    /// The record's stamp has changed: what was on offer is lent or is not.
+    pub(crate) fn settle_offer(&mut self) {
+        self.touch = false;
+        self.offered = TaskSet::new();
+        self.queue();
+    }
+
+    /// The record as stored, for rewriting it.
+    pub fn record(&self, done: String) -> JobRecord {
+        JobRecord {
+            spec: (*self.spec).clone(),
+            at_ms: self.at_ms,
+            part: self.home,
+            lent: self.lent.clone(),
+            done,
+        }
+    }
+
+    /// Its tasks may run in different parts: none of them is bound to where
+    /// the others run.
+    pub fn may_be_lent(&self) -> bool {
+        let spec = &self.spec;
+        spec.shape != Shape::Gang && (spec.tasks == 1 || !(spec.one_zone || spec.spread))
+    }
+}
+
 /// Where a slot stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SlotState {
@@ -174,6 +239,9 @@
     }
 }
 
+/// Most ranges of tasks that one offer adds to a record.
+const MAX_RANGES: u32 = 40;
+
 /// How a report was taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Taken {
@@ -252,21 +320,38 @@
             // tasks exit as done again if they are launched again.
             done = TaskSet::new();
         }
+        let mine = record.share(self.part);
         match self.jobs.get_mut(&id) {
-            Some(job) if stamp < job.stamp => {}
+            Some(job) if stamp < job.stamp => return,
             Some(job) => {
+                if stamp > job.stamp {
+                    job.offered = TaskSet::new();
+                    job.touch = false;
+                }
                 job.stamp = stamp;
+                job.lent = record.lent;
+                job.mine = mine;
                 merge(job, &done);
+                job.queue();
+                if job.mine.is_empty() && job.active.is_empty() {
+                    self.jobs.remove(&id);
+                }
             }
+            None if mine.is_empty() => return,
             None => {
                 let mut job = Job {
                     spec: Arc::new(record.spec),
                     at_ms: record.at_ms,
                     stamp,
                     chunk_stamps: BTreeMap::new(),
+                    home: record.part,
+                    lent: record.lent,
+                    mine,
+                    offered: TaskSet::new(),
+                    touch: false,
                     done: TaskSet::new(),
                     committed: TaskSet::new(),
-                    waiting: TaskSet::full(tasks),
+                    waiting: TaskSet::new(),
                     active: BTreeMap::new(),
                     old,
                     failed_on: BTreeSet::new(),
@@ -275,6 +360,7 @@
                     seen: now,
                 };
                 merge(&mut job, &done);
+                job.queue();
                 self.jobs.insert(id.clone(), job);
             }
         }
@@ -388,9 +474,7 @@
                 .is_some_and(|(_, a)| *a == attempt)
         {
             job.active.remove(&task.index);
-            if !job.done.contains(task.index) {
-                job.waiting.insert(task.index);
-            }
+            job.queue_one(task.index);
         }
     }
 
@@ -499,7 +583,7 @@
         let mut halt = Some(0.0);
         let mut spec = None;
         if let Some(job) = self.jobs.get_mut(&seen.task.job)
-            && seen.task.index < job.spec.tasks
+            && job.mine.contains(seen.task.index)
         {
             spec = Some(Arc::clone(&job.spec));
             let exited = seen.state == TaskState::Exited;
@@ -729,6 +813,68 @@
             })
     }
 
+    /// Takes waiting tasks of one shape out of use, to lend them: by job, as
+    /// many as asked for. Last come, first lent.
+    pub fn offer(&mut self, like: &Demand) -> Vec<(JobId, TaskSet)> {
+        let mut left = like.count;
+        let mut jobs: Vec<(u64, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| {
+                job.may_be_lent()
+                    && !job.waiting.is_empty()
+                    && job.offered.is_empty()
+                    && !self.may_run_unseen(job)
+                    && like.matches(&job.spec)
+            })
+            .map(|(id, job)| (job.at_ms, id.clone()))
+            .collect();
+        jobs.sort();
+        let mut offers = Vec::new();
+        while left > 0
+            && let Some((_, id)) = jobs.pop()
+        {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let mut tasks = TaskSet::new();
+            let mut ranges = 0;
+            let mut before = None;
+            for i in job.waiting.iter() {
+                // The record must stay small however scattered they are.
+                ranges += u32::from(before != Some(i.wrapping_sub(1)));
+                if tasks.len() == left || ranges > MAX_RANGES {
+                    break;
+                }
+                before = Some(i);
+                tasks.insert(i);
+            }
+            left -= tasks.len();
+            job.offered = tasks.clone();
+            job.queue();
+            offers.push((id, tasks));
+        }
+        self.disturb();
+        offers
+    }
+
+    /// An offer was surely not stored.
+    pub fn withdraw_offer(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.settle_offer();
+        }
+        self.disturb();
+    }
+
+    /// It is not known whether an offer was stored, or will be: the record is
+    /// rewritten, which settles it either way.
+    pub fn doubt_offer(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.touch = true;
+            self.dirty_jobs.insert(id.clone());
+        }
+    }
+
     /// Whether the machine holds nothing and may leave the part.
     pub fn may_leave(&self, id: &MachineId) -> bool {
         self.machines
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -45,6 +45,7 @@
         lease: Duration::from_secs(10),
         cancel: Duration::from_secs(40),
         txn_ops: 12,
+        parts: 1,
         chunk: 1024,
         zones: vec!["a".into(), "b".into()],
         teams: BTreeMap::from([("red".to_owned(), team.clone()), ("blue".to_owned(), team)]),
@@ -89,6 +90,8 @@
     JobRecord {
         spec,
         at_ms: 0,
+        part: PART,
+        lent: vec![],
         done: String::new(),
     }
 }
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between controllers (MessagePack).
 
 use crate::ids::{JobId, MachineId, MemberId, PartId, Term};
+use crate::job::JobSpec;
 use crate::record::Slots;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -14,6 +15,8 @@
     Move(MachineId, PartId),
     /// Give a machine back to the cloud once it is idle.
     Retire(MachineId),
+    /// Lend up to this many waiting tasks of one shape to another part.
+    Lend(PartId, PartId, Box<Demand>),
     /// Give up unused slots of these teams down to what is stated.
     Shrink(PartId, BTreeMap<String, Slots>),
 }
@@ -84,6 +87,17 @@
     pub work_s: f64,
     /// How many.
     pub count: u32,
+    /// Each task may run in any part.
+    pub free: bool,
+}
+
+impl Demand {
+    /// Whether a job's tasks are of this shape.
+    pub fn matches(&self, spec: &JobSpec) -> bool {
+        (self.cpus, self.gpus, self.memory_gb) == (spec.cpus.0, spec.gpus.0, spec.memory_gb.0)
+            && self.types == spec.types
+            && (self.spot, self.rank) == (spec.spot, spec.rank)
+    }
 }
 
 /// One machine, for the coordinator.
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -16,6 +16,8 @@
 pub const LAYOUT: &str = "c/layout";
 /// The shared term counter.
 pub const TERM: &str = "c/term";
+/// Prefix of all live jobs.
+pub const JOBS: &str = "c/job/";
 /// The coordinator's role.
 pub const ROLE: &str = "c/role";
 
@@ -35,10 +37,6 @@
 pub fn machine_key(m: &MachineId) -> String {
     format!("c/machine/{m}")
 }
-/// Prefix of a part's jobs.
-pub fn jobs_prefix(p: PartId) -> String {
-    format!("c/job/{p}/")
-}
 /// Key of a live job.
 pub fn job_key(p: PartId, job: &JobId) -> String {
     format!("c/job/{p}/{job}")
@@ -171,11 +169,70 @@
     /// When it was accepted, by the acceptor's time of day.
     #[serde(default)]
     pub at_ms: u64,
+    /// The part that runs its tasks, chosen by room when it was accepted. Its
+    /// key's part is only where it is found.
+    pub part: PartId,
+    /// Tasks lent to other parts; all others are `part`'s.
+    #[serde(default)]
+    pub lent: Vec<Loan>,
     /// Done tasks of the first chunk.
     #[serde(default)]
     pub done: String,
 }
 
+/// Tasks of a job that another part runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// The part that runs them.
+    pub part: PartId,
+    /// The tasks, as ranges.
+    pub tasks: String,
+}
+
+/// A size of chunk that holds all tasks of any job.
+const ALL: u32 = 1 << 20;
+
+impl JobRecord {
+    /// The tasks that one part runs.
+    pub fn share(&self, part: PartId) -> TaskSet {
+        let mut set = TaskSet::new();
+        if part != self.part {
+            for loan in self.lent.iter().filter(|l| l.part == part) {
+                set.add_chunk(&loan.tasks, 0, ALL, self.spec.tasks);
+            }
+            return set;
+        }
+        set = TaskSet::full(self.spec.tasks);
+        for loan in &self.lent {
+            let mut gone = TaskSet::new();
+            gone.add_chunk(&loan.tasks, 0, ALL, self.spec.tasks);
+            for i in gone.iter() {
+                set.remove(i);
+            }
+        }
+        set
+    }
+
+    /// Gives tasks of one part's share to another part.
+    pub fn lend(&mut self, from: PartId, to: PartId, tasks: &TaskSet) {
+        let mut shares = [(from, self.share(from)), (to, self.share(to))];
+        for i in tasks.iter() {
+            if shares[0].1.remove(i) {
+                shares[1].1.insert(i);
+            }
+        }
+        for (part, share) in shares.iter().filter(|(p, _)| *p != self.part) {
+            self.lent.retain(|l| l.part != *part);
+            if !share.is_empty() {
+                self.lent.push(Loan {
+                    part: *part,
+                    tasks: share.chunk_text(0, ALL),
+                });
+            }
+        }
+    }
+}
+
 /// A continuation of a live job's done tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChunkRecord {
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -316,6 +316,10 @@
             log::debug!("moving {machine} from part {from} to {to}");
             ask_owner(shared, from, Ask::Move(machine, to));
         }
+        Action::Lend(from, to, like) => {
+            log::debug!("part {from} lends {} tasks to {to}", like.count);
+            ask_owner(shared, from, Ask::Lend(from, to, like));
+        }
         Action::Retire(machine, part) => {
             log::debug!("retiring {machine} of part {part}");
             ask_owner(shared, part, Ask::Retire(machine));
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -12,7 +12,9 @@
 use pulleywood_wire::settings::Settings;
 use pulleywood_wire::state::Event;
 use pulleywood_wire::time::{secs, surely_within};
-use pulleywood_wire::{JobId, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term, cbor};
+use pulleywood_wire::{
+    JobId, JobSpec, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term, cbor,
+};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,6 +135,8 @@
     pub owned: BTreeMap<PartId, Owned>,
     /// Others' digests and when they came.
     pub digests: BTreeMap<MemberId, (Digest, Moment)>,
+    /// Jobs accepted here lately: when, for which part, how large.
+    pub sent: Vec<(Moment, PartId, f64)>,
 }
 
 impl Shared {
@@ -175,6 +179,7 @@
             caught_up: Moment::default(),
             owned: BTreeMap::new(),
             digests: BTreeMap::new(),
+            sent: Vec::new(),
         }
     }
 
@@ -271,7 +276,11 @@
         let stamp = event.stamp;
         let value = event.value.as_ref().filter(|_| written);
         match key {
-            Key::Layout => self.view.layout = read(value, &path),
+            Key::Layout => {
+                self.view.layout = read(value, &path);
+                let parts = self.view.layout.map_or(0, |l: Layout| l.parts);
+                Arc::make_mut(&mut self.config).parts = parts;
+            }
             Key::Term => {
                 if let Some(record) = read::<TermRecord>(value, &path)
                     && stamp > self.view.term.1
@@ -309,16 +318,15 @@
                     }
                 }
             },
-            Key::Job(p, id, chunk) => {
+            Key::Job(_, id, chunk) => {
                 let config = Arc::clone(&self.config);
-                let Some(owned) = self.owned.get_mut(&p) else {
-                    return;
-                };
-                if !owned.loaded {
-                    owned.held.push(event);
-                    return;
+                for owned in self.owned.values_mut() {
+                    if owned.loaded {
+                        owned.job_event(&path, &id, chunk, value, stamp, false, now, &config);
+                    } else {
+                        owned.held.push(event.clone());
+                    }
                 }
-                owned.job_event(&path, &id, chunk, value, stamp, false, now, &config);
             }
         }
     }
@@ -360,12 +368,71 @@
     }
 
     /// A job accepted here is told to its part at once if that is here too.
-    pub fn put_job(&mut self, p: PartId, record: JobRecord, stamp: Stamp, now: Moment) {
+    pub fn put_job(&mut self, record: &JobRecord, stamp: Stamp, now: Moment) {
         let config = Arc::clone(&self.config);
-        if let Some(owned) = self.owned.get_mut(&p).filter(|o| o.loaded) {
+        if let Some(owned) = self.owned.get_mut(&record.part).filter(|o| o.loaded) {
+            let record = record.clone();
             owned.ledger.put_job(record, stamp, false, now, &config);
         }
     }
+
+    /// The part with the most room for a new job: what is free there, less
+    /// what waits there, less what this controller sent there since.
+    pub fn choose_part(&mut self, spec: &JobSpec, now: Moment) -> PartId {
+        let config = Arc::clone(&self.config);
+        let home = spec.id.part(config.parts);
+        let share = |cpus: f64, gpus: f64, memory_gb: f64| {
+            let room = pulleywood_core::Room {
+                cpus,
+                gpus,
+                memory_gb,
+            };
+            config
+                .flavors
+                .values()
+                .map(|f| room.share_of(&pulleywood_core::Room::of_flavor(f)))
+                .fold(f64::INFINITY, f64::min)
+        };
+        let size = f64::from(spec.tasks) * share(spec.cpus.0, spec.gpus.0, spec.memory_gb.0);
+        self.sent
+            .retain(|(at, ..)| now.since(*at) < Duration::from_millis(1500));
+        let parts = self.all_parts(now);
+        let best = parts
+            .values()
+            .filter(|p| !p.rebuilding && self.view.parts.contains_key(&p.part))
+            .map(|p| {
+                let free: f64 = p
+                    .machines
+                    .iter()
+                    .filter(|m| {
+                        let spot = self
+                            .view
+                            .machines
+                            .get(&m.machine)
+                            .is_some_and(|(r, _)| r.spot);
+                        spec.spot || !spot
+                    })
+                    .map(|m| share(m.cpus, m.gpus, m.memory_gb))
+                    .sum();
+                let waiting: f64 = p
+                    .demand
+                    .iter()
+                    .filter(|d| d.rank >= spec.rank)
+                    .map(|d| f64::from(d.count) * share(d.cpus, d.gpus, d.memory_gb))
+                    .sum();
+                let sent: f64 = self
+                    .sent
+                    .iter()
+                    .filter(|(_, part, _)| *part == p.part)
+                    .map(|(.., size)| size)
+                    .sum();
+                (free - waiting - sent, p.part == home, p.part)
+            })
+            .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let part = best.map_or(home, |(.., part)| part);
+        self.sent.push((now, part, size));
+        part
+    }
 }
 
 impl Owned {
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -4,9 +4,10 @@
 use pulleywood_core::{PartLedger, grants};
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError, cloud};
+use pulleywood_wire::peer::Demand;
 use pulleywood_wire::record::{
-    Holder, Key, LAYOUT, Layout, TERM, TermRecord, grant_key, job_key, jobs_prefix, last_key,
-    machine_key, part_key,
+    Holder, JOBS, Key, LAYOUT, Layout, TERM, TermRecord, grant_key, job_key, last_key, machine_key,
+    part_key,
 };
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::worker::Direct;
@@ -329,7 +330,7 @@
 /// Reads a part's machines and jobs, then introduces the new term.
 fn load(shared: &Arc<Shared>, part: PartId, part_stamp: Stamp) -> Result<(), StateError> {
     let (jobs, machines) = loop {
-        let jobs = shared.state.list(Class::Owner, &jobs_prefix(part));
+        let jobs = shared.state.list(Class::Owner, JOBS);
         let machines =
             jobs.and_then(|jobs| Ok((jobs, shared.state.list(Class::Owner, "c/machine/")?)));
         match machines {
@@ -591,7 +592,8 @@
     part_stamp: Stamp,
     id: &JobId,
 ) -> Result<(), StateError> {
-    let key = job_key(part, id);
+    let parts = shared.node.lock().config.parts;
+    let key = job_key(id.part(parts), id);
     let (items, _) = shared.state.list(Class::Owner, &key)?;
     let now = shared.clock.now();
     let mut node = shared.node.lock();
@@ -623,6 +625,66 @@
     Ok(())
 }
 
+/// Lends waiting tasks of a part held here to another part. The shrunken
+/// share is committed before the other part can see its larger one.
+pub fn lend(shared: &Arc<Shared>, from: PartId, to: PartId, like: &Demand) -> bool {
+    let now = shared.clock.now();
+    let prepared = {
+        let mut node = shared.node.lock();
+        if !node.may_act(now) {
+            return false;
+        }
+        let config = Arc::clone(&node.config);
+        let Some(owned) = node.owned.get_mut(&from).filter(|o| o.loaded && !o.leaving) else {
+            return false;
+        };
+        let offers = owned.ledger.offer(like);
+        let mut commits = Vec::new();
+        for (id, tasks) in offers {
+            let Some(job) = owned.ledger.jobs.get(&id) else {
+                continue;
+            };
+            let mut record = job.record(job.committed.chunk_text(0, config.chunk));
+            record.lend(from, to, &tasks);
+            let key = job_key(id.part(config.parts), &id);
+            let commit = Commit::default()
+                .when(part_key(from), owned.stamp)
+                .when(key.clone(), job.stamp)
+                .write(key, &record);
+            commits.push((id, record, commit));
+        }
+        commits
+    };
+    let mut lent = false;
+    for (id, record, commit) in prepared {
+        let outcome = shared.state.commit(Class::Owner, &commit);
+        let now = shared.clock.now();
+        let mut node = shared.node.lock();
+        match outcome {
+            Ok(Outcome::Applied(stamp)) => {
+                let config = Arc::clone(&node.config);
+                for owned in node.owned.values_mut().filter(|o| o.loaded) {
+                    owned
+                        .ledger
+                        .put_job(record.clone(), stamp, false, now, &config);
+                }
+                lent = true;
+            }
+            outcome => {
+                let Some(owned) = node.owned.get_mut(&from) else {
+                    continue;
+                };
+                match outcome {
+                    Err(StateError::Unknown(_)) => owned.ledger.doubt_offer(&id),
+                    // Not applied, and never will be.
+                    _ => owned.ledger.withdraw_offer(&id),
+                }
+            }
+        }
+    }
+    lent
+}
+
 /// The transaction that moves or retires a machine of a part held here.
 pub fn let_go(shared: &Arc<Shared>, id: &MachineId, to: Option<PartId>) -> bool {
     let now = shared.clock.now();
--- a/crates/pulleywood/src/peers.rs
+++ b/crates/pulleywood/src/peers.rs
@@ -36,6 +36,7 @@
         }
         Ask::Move(machine, to) => taken(owner::let_go(shared, &machine, Some(to))),
         Ask::Retire(machine) => taken(owner::let_go(shared, &machine, None)),
+        Ask::Lend(from, to, like) => taken(owner::lend(shared, from, to, &like)),
         Ask::Shrink(part, to) => taken(coordinator::shrink(shared, part, &to)),
     }
 }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -12,7 +12,7 @@
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::job::JobAnswer;
 use pulleywood_wire::record::{
-    ChunkRecord, JobRecord, Key, OverRecord, TaskSet, job_key, jobs_prefix, over_key,
+    ChunkRecord, JobRecord, Key, OverRecord, TaskSet, job_key, over_key,
 };
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{JobId, JobSpec, JobStatus, Moment, PartId, Stamp, cbor};
@@ -61,7 +61,7 @@
     Ok(Stored::Unknown)
 }
 
-fn answer(shared: &Shared, part: PartId, id: &JobId, stored: &Stored) -> Response {
+fn answer(shared: &Shared, id: &JobId, stored: &Stored) -> Response {
     match stored {
         Stored::Unknown => Response::status(404),
         Stored::Over(over) => Response::cbor(
@@ -74,7 +74,7 @@
             },
         ),
         Stored::Live(record, _) => {
-            let (done, running) = progress(shared, part, id, record);
+            let (done, running) = progress(shared, id, record);
             let status = if running > 0 {
                 JobStatus::Running
             } else {
@@ -95,26 +95,30 @@
 
 /// Tasks done and running, for display: the owner's count where it is here or
 /// in a digest, else the stored one.
-fn progress(shared: &Shared, part: PartId, id: &JobId, record: &JobRecord) -> (u32, u32) {
+fn progress(shared: &Shared, id: &JobId, record: &JobRecord) -> (u32, u32) {
     let now = shared.clock.now();
     let node = shared.node.lock();
-    if let Some(owned) = node.owned.get(&part)
-        && let Some(job) = owned.ledger.jobs.get(id)
-    {
-        return (job.committed.len(), owned.ledger.running(id));
-    }
     let mut done = TaskSet::new();
     done.add_chunk(&record.done, 0, node.config.chunk, record.spec.tasks);
-    let running = node
+    let mut done = done.len();
+    let mut running = 0;
+    for owned in node.owned.values() {
+        running += owned.ledger.running(id);
+        if let Some(job) = owned.ledger.jobs.get(id) {
+            done = done.max(job.committed.len());
+        }
+    }
+    running += node
         .digests
         .values()
         .filter(|(_, at)| now.since(*at) < Duration::from_secs(5))
         .flat_map(|(d, _)| &d.parts)
-        .filter(|p| p.part == part)
+        .filter(|p| !node.owned.contains_key(&p.part))
         .flat_map(|p| &p.running)
-        .find(|(job, _)| job == id)
-        .map_or(0, |(_, n)| *n);
-    (done.len(), running)
+        .filter(|(job, _)| job == id)
+        .map(|(_, n)| *n)
+        .sum::<u32>();
+    (done, running)
 }
 
 /// `POST /v2/runs`
@@ -143,17 +147,20 @@
                 log::info!("{id} refused: {why}");
                 Response::status(422)
             }
-            Ok(stored) => answer(shared, part, &id, &stored),
+            Ok(stored) => answer(shared, &id, &stored),
             Err(e) => later(&e),
         };
     }
     if let Some(over) = shared.finals.lock().get(&id) {
-        return answer(shared, part, &id, &Stored::Over(over));
+        return answer(shared, &id, &Stored::Over(over));
     }
+    let now = shared.clock.now();
     let record = JobRecord {
-        spec,
         at_ms: time_of_day_ms(),
+        part: shared.node.lock().choose_part(&spec, now),
+        lent: Vec::new(),
         done: String::new(),
+        spec,
     };
     let key = job_key(part, &id);
     let commit = Commit::default()
@@ -163,7 +170,7 @@
     match shared.state.commit(Class::User, &commit) {
         Ok(Outcome::Applied(stamp)) => {
             let now: Moment = shared.clock.now();
-            shared.node.lock().put_job(part, record, stamp, now);
+            shared.node.lock().put_job(&record, stamp, now);
             log::debug!("accepted {id}");
             Response::cbor(
                 201,
@@ -177,7 +184,7 @@
         }
         Ok(Outcome::Conflict) => match lookup(shared, part, &id) {
             Ok(Stored::Unknown) => Response::later(503, 1),
-            Ok(stored) => answer(shared, part, &id, &stored),
+            Ok(stored) => answer(shared, &id, &stored),
             Err(e) => later(&e),
         },
         // It may have been accepted; the user's retry will tell.
@@ -198,7 +205,7 @@
     };
     let part = id.part(parts);
     match lookup(shared, part, &id) {
-        Ok(stored) => answer(shared, part, &id, &stored),
+        Ok(stored) => answer(shared, &id, &stored),
         Err(e) => later(&e),
     }
 }
@@ -215,17 +222,17 @@
     for _ in 0..4 {
         let (record, stamp) = match lookup(shared, part, &id) {
             Ok(Stored::Live(record, stamp)) => (record, stamp),
-            Ok(stored) => return answer(shared, part, &id, &stored),
+            Ok(stored) => return answer(shared, &id, &stored),
             Err(e) => return later(&e),
         };
         match withdraw(shared, part, &id, &record, stamp) {
             Ok(Some(over)) => {
                 log::debug!("cancelled {id}");
                 shared.finals.lock().put(&id, over.clone());
-                if let Some(owned) = shared.node.lock().owned.get_mut(&part) {
+                for owned in shared.node.lock().owned.values_mut() {
                     owned.ledger.drop_job(&id);
                 }
-                return answer(shared, part, &id, &Stored::Over(over));
+                return answer(shared, &id, &Stored::Over(over));
             }
             // A done batch came in between: look again.
             Ok(None) => {}
@@ -256,9 +263,7 @@
         .when(over_key(id), Stamp(0))
         .delete(key.clone());
     if tasks > chunk {
-        let (items, _) = shared
-            .state
-            .list(Class::User, &format!("{}{id}/", jobs_prefix(part)))?;
+        let (items, _) = shared.state.list(Class::User, &format!("{key}/"))?;
         for item in items {
             if let Some(Key::Job(_, _, n)) = Key::parse(&item.path)
                 && let Some(more) = read::<ChunkRecord>(Some(&item.value), &item.path)
