Empty ordinary machines beyond need; let higher ranks press across parts

Bound work gathers on few machines, those beyond need are emptied and returned, and a part lends production tasks to one where lower ranks hold room.

--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -29,6 +29,8 @@
     Move(MachineId, PartId, PartId),
     /// Waiting tasks of one shape are lent by one part to another.
     Lend(PartId, PartId, Box<Demand>),
+    /// Machines of a part are emptied.
+    Drain(PartId, Vec<MachineId>),
     /// A machine is given back once its part let it go.
     Retire(MachineId, PartId),
     /// Machines are rented for a part.
@@ -45,6 +47,8 @@
     first_seen: BTreeMap<MachineId, Moment>,
     missed_since: BTreeMap<MachineId, Moment>,
     moved: BTreeMap<MachineId, Moment>,
+    /// Machines being emptied.
+    draining: BTreeSet<MachineId>,
 }
 
 impl Memory {
@@ -107,7 +111,7 @@
                         gpus: d.gpus,
                         memory_gb: d.memory_gb,
                     };
-                    busy += 1.0 - free.share_of(&whole);
+                    busy += free.used_of(&whole);
                 }
                 _ => booting += 1,
             }
@@ -147,6 +151,20 @@
     free: Room,
     whole: Room,
     taken: u32,
+    /// Room held by each rank.
+    held: Vec<(Rank, Room)>,
+    pinned: f64,
+}
+
+impl Bin {
+    /// Room that yields to a rank, what is free included.
+    fn yields(&self, rank: Rank) -> Room {
+        let mut room = self.free;
+        for (_, held) in self.held.iter().filter(|(r, _)| *r < rank) {
+            room += *held;
+        }
+        room
+    }
 }
 
 fn allows(demand: &Demand, kind: &Kind) -> bool {
@@ -228,9 +246,29 @@
             free,
             whole,
             taken: 0,
+            held: digest
+                .map(|(m, _)| {
+                    let room = |&(rank, cpus, gpus, memory_gb): &(Rank, f64, f64, f64)| {
+                        let room = Room {
+                            cpus,
+                            gpus,
+                            memory_gb,
+                        };
+                        (rank, room)
+                    };
+                    m.held.iter().map(room).collect()
+                })
+                .unwrap_or_default(),
+            pinned: digest.map_or(0.0, |(m, _)| m.pinned),
         });
     }
 
+    // What is being emptied is filled last, and kept if it is needed.
+    bins.sort_by_key(|b| {
+        b.machine
+            .as_ref()
+            .is_some_and(|m| memory.draining.contains(m))
+    });
     let mut demands: Vec<(PartId, &Demand)> = seen
         .parts
         .values()
@@ -281,6 +319,21 @@
                 }
             }
         }
+        // What lower ranks hold yields, here or in another part.
+        left = press(&mut bins, left, demand, &need, |b| b.part == part);
+        if demand.free && left > 0 {
+            for other in seen.parts.keys().filter(|p| **p != part) {
+                let before = left;
+                left = press(&mut bins, left, demand, &need, |b| b.part == *other);
+                if left < before {
+                    let lent = Demand {
+                        count: before - left,
+                        ..demand.clone()
+                    };
+                    actions.push(Action::Lend(part, *other, Box::new(lent)));
+                }
+            }
+        }
         // The rest is rented.
         let mut guard = 0;
         while left > 0 && guard < 200 {
@@ -297,6 +350,8 @@
                 free: whole,
                 whole,
                 taken: 0,
+                held: Vec::new(),
+                pinned: 0.0,
             });
             left = fill(&mut bins, left, demand, &need, |b| b.part == part);
         }
@@ -304,7 +359,8 @@
     for ((kind, part), count) in hires {
         actions.push(Action::Hire(kind, count.min(50), part));
     }
-    actions.extend(retire(config, &bins, &digests));
+    actions.extend(drain(config, memory, &bins));
+    actions.extend(retire(config, memory, &bins, &digests));
     actions
 }
 
@@ -341,6 +397,31 @@
     left
 }
 
+/// Fills room that lower ranks hold with a demand; what is left over.
+fn press(
+    bins: &mut [Bin],
+    mut left: u32,
+    demand: &Demand,
+    need: &Room,
+    of: impl Fn(&Bin) -> bool,
+) -> u32 {
+    for bin in bins.iter_mut() {
+        if left == 0 {
+            break;
+        }
+        if !of(bin) || !allows(demand, &bin.kind) {
+            continue;
+        }
+        let n = bin.yields(demand.rank).times(need).min(left);
+        for _ in 0..n {
+            bin.free -= *need;
+        }
+        bin.taken += n;
+        left -= n;
+    }
+    left
+}
+
 /// The kind that costs least for a demand and is not backed off.
 fn cheapest<'a>(
     config: &'a Config,
@@ -388,9 +469,54 @@
     best.map(|(_, kind, flavor)| (kind, flavor))
 }
 
+/// Machines beyond what the work needs are emptied, ordinary ones with the
+/// least bound work first: those that hold none of it.
+fn drain(config: &Config, memory: &mut Memory, bins: &[Bin]) -> Vec<Action> {
+    let share = |b: &Bin| b.free.used_of(&b.whole).clamp(0.0, 1.0);
+    let load: f64 = bins.iter().map(share).sum();
+    let pinned: f64 = bins.iter().map(|b| b.pinned).sum();
+    let spot = bins.iter().filter(|b| b.kind.spot).count() as f64;
+    let grow = 1.0 + config.policy.cushion;
+    let needed = (pinned * grow).max(load * grow - spot).ceil() as usize;
+    let mut ordinary: Vec<&Bin> = bins
+        .iter()
+        .filter(|b| !b.kind.spot && b.machine.is_some())
+        .collect();
+    // Those that stay: most bound work first, then those not yet draining.
+    let draining = |b: &Bin| {
+        b.machine
+            .as_ref()
+            .is_some_and(|m| memory.draining.contains(m))
+    };
+    ordinary.sort_by(|a, b| {
+        b.pinned
+            .total_cmp(&a.pinned)
+            .then(draining(a).cmp(&draining(b)))
+            .then(share(b).total_cmp(&share(a)))
+    });
+    let mut by_part: BTreeMap<PartId, Vec<MachineId>> = BTreeMap::new();
+    let mut now_draining = BTreeSet::new();
+    for bin in ordinary.into_iter().skip(needed) {
+        if let Some(machine) = bin
+            .machine
+            .clone()
+            .filter(|_| bin.pinned < 1e-9 && bin.taken == 0)
+        {
+            now_draining.insert(machine.clone());
+            by_part.entry(bin.part).or_default().push(machine);
+        }
+    }
+    memory.draining = now_draining;
+    by_part
+        .into_iter()
+        .map(|(part, machines)| Action::Drain(part, machines))
+        .collect()
+}
+
 /// Idle machines beyond the cushion, and unfit ones, are given back.
 fn retire(
     config: &Config,
+    memory: &Memory,
     bins: &[Bin],
     digests: &BTreeMap<&MachineId, (&MachineDigest, PartId)>,
 ) -> Vec<Action> {
@@ -412,7 +538,12 @@
             .filter_map(|b| {
                 let id = b.machine.as_ref()?;
                 let (digest, part) = digests.get(id)?;
-                (digest.idle_s >= config.policy.idle_s).then_some((digest.idle_s, id, *part))
+                let wait = if memory.draining.contains(id) {
+                    config.policy.idle_s / 4.0
+                } else {
+                    config.policy.idle_s
+                };
+                (digest.idle_s >= wait).then_some((digest.idle_s, id, *part))
             })
             .collect();
         idle.sort_by(|a, b| b.0.total_cmp(&a.0));
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -18,7 +18,9 @@
 };
 use pulleywood_wire::time::secs;
 use pulleywood_wire::worker::{Cause, Order, Report, TaskReport, TaskState};
-use pulleywood_wire::{Attempt, JobId, JobSpec, MachineId, Moment, PartId, Stamp, TaskId, Term};
+use pulleywood_wire::{
+    Attempt, JobId, JobSpec, MachineId, Moment, PartId, Rank, Stamp, TaskId, Term,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -196,6 +198,8 @@
     pub failed_jobs: BTreeSet<JobId>,
     /// To be replaced.
     pub unfit: bool,
+    /// Nothing is launched until then, so that it falls idle.
+    pub drain_until: Moment,
     /// Nothing is launched: it is being moved or given back.
     pub leaving: bool,
 }
@@ -229,6 +233,35 @@
         free
     }
 
+    /// Whether it is being emptied.
+    pub fn drains(&self, now: Moment) -> bool {
+        now < self.drain_until
+    }
+
+    /// Room held by tasks that may not run on spot machines.
+    pub fn pinned(&self) -> Room {
+        let mut sum = Room::default();
+        for slot in self.slots.iter().filter(|s| s.holds_room()) {
+            if let Some(spec) = slot.spec.as_ref().filter(|s| !s.spot) {
+                sum += Room::of_task(spec);
+            }
+        }
+        sum
+    }
+
+    /// Room held by each rank, lowest first.
+    pub fn held(&self) -> Vec<(Rank, f64, f64, f64)> {
+        let mut held: BTreeMap<Rank, Room> = BTreeMap::new();
+        for slot in self.slots.iter().filter(|s| s.holds_room()) {
+            if let Some(spec) = &slot.spec {
+                *held.entry(spec.rank).or_default() += Room::of_task(spec);
+            }
+        }
+        held.into_iter()
+            .map(|(rank, r)| (rank, r.cpus, r.gpus, r.memory_gb))
+            .collect()
+    }
+
     fn touch_image(&mut self, name: &str, gb: f64, cache_gb: f64) {
         self.images.retain(|(n, _)| n != name);
         self.images.push_back((name.to_owned(), gb));
@@ -446,6 +479,7 @@
                     idle_since: None,
                     failed_jobs: BTreeSet::new(),
                     unfit: false,
+                    drain_until: Moment(0),
                 };
                 self.machines.insert(id.clone(), machine);
             }
@@ -813,6 +847,17 @@
             })
     }
 
+    /// Nothing is launched on these machines for a while; those that are no
+    /// longer named take tasks again when it has passed.
+    pub fn drain(&mut self, ids: &[MachineId], until: Moment) {
+        for id in ids {
+            if let Some(machine) = self.machines.get_mut(id) {
+                machine.drain_until = until;
+            }
+        }
+        self.disturb();
+    }
+
     /// Takes waiting tasks of one shape out of use, to lend them: by job, as
     /// many as asked for. Last come, first lent.
     pub fn offer(&mut self, like: &Demand) -> Vec<(JobId, TaskSet)> {
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -32,6 +32,8 @@
     images: Vec<String>,
     fetching: Vec<String>,
     queued_gb: f64,
+    /// Share held by tasks that may not run on spot machines.
+    pinned: f64,
 }
 
 impl Site {
@@ -60,12 +62,22 @@
         } else {
             0.0
         };
-        // Fuller machines first, so that others fall idle and can be returned.
-        self.delay(spec) + bias + 10.0 * self.free.share_of(&self.whole)
+        // Fuller machines first, so that others fall idle and can be returned;
+        // work bound to ordinary machines gathers on as few as possible.
+        let spread = if spec.spot {
+            1.0 - self.free.used_of(&self.whole)
+        } else {
+            1.0 - self.pinned
+        };
+        self.delay(spec) + bias + 10.0 * spread
     }
 
     fn take(&mut self, spec: &JobSpec) {
-        self.free -= Room::of_task(spec);
+        let need = Room::of_task(spec);
+        self.free -= need;
+        if !spec.spot {
+            self.pinned += need.share_of(&self.whole);
+        }
         if spec.image_gb.0 > 0.0
             && !self.images.contains(&spec.image)
             && !self.fetching.contains(&spec.image)
@@ -143,6 +155,7 @@
                 && heard
                 && !m.leaving
                 && !m.unfit
+                && !m.drains(now)
                 && m.taken_at.is_none()
                 && !m.has_foreign();
             let Some(flavor) = config.flavors.get(&m.record.flavor).filter(|_| usable) else {
@@ -176,6 +189,7 @@
                 images: m.images.iter().map(|(n, _)| n.clone()).collect(),
                 fetching,
                 queued_gb,
+                pinned: m.pinned().share_of(&whole),
             });
         }
         sites
--- a/crates/pulleywood-core/src/room.rs
+++ b/crates/pulleywood-core/src/room.rs
@@ -53,6 +53,14 @@
             .max(part(self.memory_gb, whole.memory_gb))
     }
 
+    /// The share of `whole` that is in use when this is free.
+    pub fn used_of(&self, whole: &Room) -> f64 {
+        let part = |free: f64, all: f64| if all > 0.0 { 1.0 - free / all } else { 0.0 };
+        part(self.cpus, whole.cpus)
+            .max(part(self.gpus, whole.gpus))
+            .max(part(self.memory_gb, whole.memory_gb))
+    }
+
     /// How many times `need` fits.
     pub fn times(&self, need: &Room) -> u32 {
         let part = |a: f64, b: f64| {
--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -40,14 +40,14 @@
 }
 
 impl Bucket {
-    /// Starts a quarter full: a process that restarts often must not bring a
-    /// whole burst with it each time.
+    /// Starts half full: a process that restarts often must not bring a whole
+    /// burst with it each time.
     fn new(rate: f64, burst: f64) -> Self {
         let burst = burst.max(1.0);
         Self {
             rate,
             burst,
-            tokens: burst / 4.0,
+            tokens: burst / 2.0,
             filled: Instant::now(),
         }
     }
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -13,6 +13,8 @@
     Digest(Box<Digest>),
     /// Give an idle machine to another part.
     Move(MachineId, PartId),
+    /// Launch nothing more on these machines for now, so that they fall idle.
+    Drain(Vec<MachineId>),
     /// Give a machine back to the cloud once it is idle.
     Retire(MachineId),
     /// Lend up to this many waiting tasks of one shape to another part.
@@ -117,4 +119,9 @@
     pub silent_s: f64,
     /// It should be replaced.
     pub unfit: bool,
+    /// Share of it that tasks hold which may not run on spot machines.
+    pub pinned: f64,
+    /// Room held by tasks of each rank, lowest first: what higher ranks may
+    /// take.
+    pub held: Vec<(crate::job::Rank, f64, f64, f64)>,
 }
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -320,6 +320,9 @@
             log::debug!("part {from} lends {} tasks to {to}", like.count);
             ask_owner(shared, from, Ask::Lend(from, to, like));
         }
+        Action::Drain(part, machines) => {
+            ask_owner(shared, part, Ask::Drain(machines));
+        }
         Action::Retire(machine, part) => {
             log::debug!("retiring {machine} of part {part}");
             ask_owner(shared, part, Ask::Retire(machine));
--- a/crates/pulleywood/src/peers.rs
+++ b/crates/pulleywood/src/peers.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 const DIGEST_EVERY: Duration = Duration::from_millis(700);
+/// The coordinator names the machines to drain about once a second.
+const DRAIN: Duration = Duration::from_secs(4);
 const ASK_TIME: Duration = Duration::from_millis(1500);
 
 /// Sends digests to one peer; runs for the life of the process.
@@ -35,6 +37,13 @@
             Reply::Ok
         }
         Ask::Move(machine, to) => taken(owner::let_go(shared, &machine, Some(to))),
+        Ask::Drain(machines) => {
+            let until = shared.clock.now() + DRAIN;
+            for owned in shared.node.lock().owned.values_mut() {
+                owned.ledger.drain(&machines, until);
+            }
+            Reply::Ok
+        }
         Ask::Retire(machine) => taken(owner::let_go(shared, &machine, None)),
         Ask::Lend(from, to, like) => taken(owner::lend(shared, from, to, &like)),
         Ask::Shrink(part, to) => taken(coordinator::shrink(shared, part, &to)),
