Lend tasks of spread jobs by zone; give the coordinator the cloud's rate

And the coordinator had a third of 2 cloud calls a second, so that 14 machines took 50 s to rent at the start (fleet line of the debug log). A lent task of a spread job is bound to a zone, which its home counts; cloud calls are the coordinator's but for machine types; one request rents for all parts. Excluded: preemption (the waiting replica's zone had no machine in its part).

--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -94,45 +94,38 @@
         if let Some(zone) = &spec.zone {
             return vec![(vec![zone.clone()], waiting)];
         }
-        if !spec.one_zone && !spec.spread {
+        if spec.tasks == 1 || (!spec.one_zone && !spec.spread) {
             return vec![(Vec::new(), waiting)];
         }
-        let mut at: BTreeMap<&str, u32> = BTreeMap::new();
-        for (id, _) in job.active.values() {
-            if let Some(m) = self.machines.get(id) {
-                *at.entry(&m.record.zone).or_insert(0) += 1;
-            }
-        }
+        let at = self.by_zone(job);
         if spec.one_zone {
-            return vec![(at.keys().map(|z| (*z).to_owned()).collect(), waiting)];
+            return vec![(at.into_keys().collect(), waiting)];
         }
-        let mut left = waiting;
-        let mut zones = Vec::new();
-        let mut free: Vec<(&str, u32)> = at
-            .into_iter()
-            .map(|(z, n)| (z, spec.zone_limit().saturating_sub(n)))
-            .collect();
-        for flavor in self.flavor_zones() {
-            if !free.iter().any(|(z, _)| *z == flavor) {
-                free.push((flavor, spec.zone_limit()));
+        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+        let mut left = 0;
+        for i in job.waiting.iter() {
+            match job.bound.get(&i) {
+                Some(zone) => *zones.entry(zone.clone()).or_insert(0) += 1,
+                None => left += 1,
             }
         }
+        let mut free: Vec<(&str, u32)> = self
+            .zones
+            .iter()
+            .map(|z| {
+                let there = at.get(z).copied().unwrap_or(0);
+                (z.as_str(), spec.zone_limit().saturating_sub(there))
+            })
+            .collect();
         free.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
         for (zone, n) in free {
             let n = n.min(left);
             if n > 0 {
-                zones.push((vec![zone.to_owned()], n));
+                *zones.entry(zone.to_owned()).or_insert(0) += n;
                 left -= n;
             }
         }
-        if zones.is_empty() {
-            zones.push((Vec::new(), waiting));
-        }
-        zones
-    }
-
-    fn flavor_zones(&self) -> impl Iterator<Item = &str> {
-        self.zones.iter().map(String::as_str)
+        zones.into_iter().map(|(z, n)| (vec![z], n)).collect()
     }
 
     fn machine_digests(&self, now: Moment, config: &Config) -> Vec<MachineDigest> {
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -33,8 +33,8 @@
     Drain(PartId, Vec<MachineId>),
     /// A machine is given back once its part let it go.
     Retire(MachineId, PartId),
-    /// Machines are rented for a part.
-    Hire(Kind, u32, PartId),
+    /// Machines are rented for parts, one for each place in the list.
+    Hire(Kind, Vec<PartId>),
     /// Machines are released that nobody commands, or that are surely dead.
     Release(Vec<MachineId>, &'static str),
 }
@@ -184,6 +184,9 @@
     }
 }
 
+/// Most machines that one request rents.
+const MAX_HIRE: usize = 50;
+
 /// One round of decisions.
 pub fn decide(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
     let mut actions = release_dead(config, memory, seen);
@@ -276,7 +279,7 @@
         .collect();
     demands.sort_by_key(|(_, d)| std::cmp::Reverse(d.rank));
 
-    let mut hires: BTreeMap<(Kind, PartId), u32> = BTreeMap::new();
+    let mut hires: BTreeMap<Kind, Vec<PartId>> = BTreeMap::new();
     for (part, demand) in demands {
         let need = need(demand);
         let mut left = demand.count;
@@ -342,7 +345,7 @@
                 break;
             };
             let whole = Room::of_flavor(flavor);
-            *hires.entry((kind.clone(), part)).or_insert(0) += 1;
+            hires.entry(kind.clone()).or_default().push(part);
             bins.push(Bin {
                 machine: None,
                 part,
@@ -356,8 +359,8 @@
             left = fill(&mut bins, left, demand, &need, |b| b.part == part);
         }
     }
-    for ((kind, part), count) in hires {
-        actions.push(Action::Hire(kind, count.min(50), part));
+    for (kind, parts) in hires {
+        actions.push(Action::Hire(kind, parts));
     }
     actions.extend(drain(config, memory, &bins));
     actions.extend(retire(config, memory, &bins, &digests));
@@ -429,7 +432,7 @@
     demand: &Demand,
     need: &Room,
     now: Moment,
-    hires: &BTreeMap<(Kind, PartId), u32>,
+    hires: &BTreeMap<Kind, Vec<PartId>>,
 ) -> Option<(Kind, &'a Flavor)> {
     let mut best: Option<(f64, Kind, &Flavor)> = None;
     for flavor in config.flavors.values() {
@@ -454,12 +457,11 @@
                     flavor.price.0
                 };
                 // Equal prices: the zone with fewer rentals of this round.
-                let planned: u32 = hires
-                    .iter()
-                    .filter(|((k, _), _)| *k == kind)
-                    .map(|(_, n)| n)
-                    .sum();
-                let cost = price / f64::from(tasks) * (1.0 + 0.001 * f64::from(planned));
+                let planned = hires.get(&kind).map_or(0, Vec::len);
+                if planned >= MAX_HIRE {
+                    continue;
+                }
+                let cost = price / f64::from(tasks) * (1.0 + 0.001 * planned as f64);
                 if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                     best = Some((cost, kind, flavor));
                 }
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -45,6 +45,12 @@
     /// Tasks offered to another part under the record's present stamp: out of
     /// use until that stamp has changed, which settles the offer.
     pub offered: TaskSet,
+    /// The zone that what is on offer is bound to.
+    pub offered_zone: Option<String>,
+    /// Zones that tasks lent to this part are bound to.
+    pub bound: BTreeMap<u32, String>,
+    /// Tasks lent to other parts by the zone they are bound to.
+    pub away: BTreeMap<String, u32>,
     /// Its record is to be rewritten as it is, to settle an offer.
     pub touch: bool,
     /// Done tasks, committed or not.
@@ -114,7 +120,7 @@
     /// the others run.
     pub fn may_be_lent(&self) -> bool {
         let spec = &self.spec;
-        spec.shape != Shape::Gang && (spec.tasks == 1 || !(spec.one_zone || spec.spread))
+        spec.shape != Shape::Gang && (spec.tasks == 1 || !spec.one_zone)
     }
 }
 
@@ -272,6 +278,17 @@
     }
 }
 
+/// Tasks of one job on offer to another part.
+#[derive(Debug)]
+pub struct Offer {
+    /// The job.
+    pub id: JobId,
+    /// The zone they are bound to.
+    pub zone: Option<String>,
+    /// The tasks.
+    pub tasks: TaskSet,
+}
+
 /// Most ranges of tasks that one offer adds to a record.
 const MAX_RANGES: u32 = 40;
 
@@ -354,6 +371,7 @@
             done = TaskSet::new();
         }
         let mine = record.share(self.part);
+        let (bound, away) = bindings(&record, self.part);
         match self.jobs.get_mut(&id) {
             Some(job) if stamp < job.stamp => return,
             Some(job) => {
@@ -364,6 +382,7 @@
                 job.stamp = stamp;
                 job.lent = record.lent;
                 job.mine = mine;
+                (job.bound, job.away) = (bound, away);
                 merge(job, &done);
                 job.queue();
                 if job.mine.is_empty() && job.active.is_empty() {
@@ -381,6 +400,9 @@
                     lent: record.lent,
                     mine,
                     offered: TaskSet::new(),
+                    offered_zone: None,
+                    bound,
+                    away,
                     touch: false,
                     done: TaskSet::new(),
                     committed: TaskSet::new(),
@@ -860,7 +882,7 @@
 
     /// Takes waiting tasks of one shape out of use, to lend them: by job, as
     /// many as asked for. Last come, first lent.
-    pub fn offer(&mut self, like: &Demand) -> Vec<(JobId, TaskSet)> {
+    pub fn offer(&mut self, like: &Demand) -> Vec<Offer> {
         let mut left = like.count;
         let mut jobs: Vec<(u64, JobId)> = self
             .jobs
@@ -879,30 +901,76 @@
         while left > 0
             && let Some((_, id)) = jobs.pop()
         {
-            let Some(job) = self.jobs.get_mut(&id) else {
+            let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
+            let spread = job.spec.spread && job.spec.tasks > 1;
+            let zone = match like.zones.as_slice() {
+                [zone] if spread => Some(zone.clone()),
+                _ if spread => continue,
+                _ => None,
+            };
+            // A task that is bound already keeps its zone.
+            let fits = |i: u32| match (&zone, job.bound.get(&i)) {
+                (Some(z), Some(bound)) => z == bound,
+                (None, Some(_)) => false,
+                _ => true,
+            };
+            let mut most = left;
+            if let Some(z) = &zone
+                && job.home == self.part
+            {
+                let there = self.by_zone(job).get(z).copied().unwrap_or(0);
+                most = most.min(job.spec.zone_limit().saturating_sub(there));
+            }
             let mut tasks = TaskSet::new();
             let mut ranges = 0;
             let mut before = None;
-            for i in job.waiting.iter() {
+            for i in job.waiting.iter().filter(|&i| fits(i)) {
                 // The record must stay small however scattered they are.
                 ranges += u32::from(before != Some(i.wrapping_sub(1)));
-                if tasks.len() == left || ranges > MAX_RANGES {
+                if tasks.len() >= most || ranges > MAX_RANGES {
                     break;
                 }
                 before = Some(i);
                 tasks.insert(i);
             }
+            if tasks.is_empty() {
+                continue;
+            }
             left -= tasks.len();
-            job.offered = tasks.clone();
-            job.queue();
-            offers.push((id, tasks));
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.offered = tasks.clone();
+                job.offered_zone.clone_from(&zone);
+                job.queue();
+            }
+            offers.push(Offer { id, zone, tasks });
         }
         self.disturb();
         offers
     }
 
+    /// Tasks of a job by zone: those that run here, and those bound to a zone
+    /// in other parts or on their way there.
+    pub(crate) fn by_zone(&self, job: &Job) -> BTreeMap<String, u32> {
+        let mut zones = BTreeMap::new();
+        if !job.spec.one_zone && !job.spec.spread {
+            return zones;
+        }
+        for (id, _) in job.active.values() {
+            if let Some(machine) = self.machines.get(id) {
+                *zones.entry(machine.record.zone.clone()).or_insert(0) += 1;
+            }
+        }
+        for (zone, n) in &job.away {
+            *zones.entry(zone.clone()).or_insert(0) += n;
+        }
+        if let Some(zone) = &job.offered_zone {
+            *zones.entry(zone.clone()).or_insert(0) += job.offered.len();
+        }
+        zones
+    }
+
     /// An offer was surely not stored.
     pub fn withdraw_offer(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
@@ -983,6 +1051,21 @@
     }
 }
 
+/// What a record's loans bind to zones: this part's own, and others' by zone.
+fn bindings(record: &JobRecord, part: PartId) -> (BTreeMap<u32, String>, BTreeMap<String, u32>) {
+    let (mut bound, mut away) = (BTreeMap::new(), BTreeMap::new());
+    for loan in &record.lent {
+        let Some(zone) = &loan.zone else { continue };
+        let tasks = record.loan(loan);
+        if loan.part == part {
+            bound.extend(tasks.iter().map(|i| (i, zone.clone())));
+        } else {
+            *away.entry(zone.clone()).or_insert(0) += tasks.len();
+        }
+    }
+    (bound, away)
+}
+
 fn merge(job: &mut Job, done: &TaskSet) {
     for i in done.iter() {
         job.committed.insert(i);
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -6,12 +6,12 @@
 //! within a guarantee.
 
 use crate::config::Config;
-use crate::ledger::{Job, Machine, PartLedger, Slot, SlotState};
+use crate::ledger::{Job, PartLedger, Slot, SlotState};
 use crate::room::{Room, add, within};
 use pulleywood_wire::job::{Rank, Shape};
 use pulleywood_wire::record::Slots;
 use pulleywood_wire::{JobId, JobSpec, MachineId, Moment, TaskId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A plan is good for this long if nothing changes.
@@ -88,21 +88,13 @@
     }
 }
 
-/// Tasks of one job by zone, for jobs bound to one zone or spread over zones.
-fn by_zone(job: &Job, machines: &BTreeMap<MachineId, Machine>) -> BTreeMap<String, u32> {
-    let mut zones = BTreeMap::new();
-    if job.spec.one_zone || job.spec.spread {
-        for (id, _) in job.active.values() {
-            if let Some(machine) = machines.get(id) {
-                *zones.entry(machine.record.zone.clone()).or_insert(0) += 1;
-            }
-        }
+/// Whether one more task may go to `zone`. A task that was lent bound to a
+/// zone goes there; its home counted it.
+fn zone_allows(job: &Job, zones: &BTreeMap<String, u32>, index: u32, zone: &str) -> bool {
+    let spec = &job.spec;
+    if let Some(bound) = job.bound.get(&index) {
+        return bound == zone;
     }
-    zones
-}
-
-/// Whether one more task may go to `zone`.
-fn zone_allows(spec: &JobSpec, zones: &BTreeMap<String, u32>, zone: &str) -> bool {
     if spec.one_zone && zones.keys().any(|z| z != zone) {
         return false;
     }
@@ -279,7 +271,7 @@
         };
         let spec = &job.spec;
         let need = Room::of_task(spec);
-        let mut zones = by_zone(job, &self.machines);
+        let mut zones = self.by_zone(job);
         if spec.shape == Shape::Gang {
             // All or nothing: a part of a gang would only wait for the rest.
             let room: u32 = sites
@@ -291,6 +283,7 @@
                 return false;
             }
         }
+        let mut all = true;
         for index in job.waiting.iter() {
             if !self.granted(spec, used, config) {
                 // More room would not help.
@@ -302,11 +295,16 @@
                     s.free.fits(&need)
                         && s.allows(spec)
                         && !job.failed_on.contains(&s.id)
-                        && zone_allows(spec, &zones, &s.zone)
+                        && zone_allows(job, &zones, index, &s.zone)
                 })
                 .min_by(|a, b| a.cost(spec, config).total_cmp(&b.cost(spec, config)));
             let Some(site) = best else {
-                return false;
+                if job.bound.is_empty() {
+                    return false;
+                }
+                // Others may be bound elsewhere.
+                all = false;
+                continue;
             };
             site.take(spec);
             *zones.entry(site.zone.clone()).or_insert(0) += 1;
@@ -316,7 +314,7 @@
                 index,
             });
         }
-        true
+        all
     }
 
     /// Stops what must yield to a job that found no room, cheapest first.
@@ -334,24 +332,32 @@
         };
         let spec = std::sync::Arc::clone(&job.spec);
         let need = Room::of_task(&spec);
-        let planned = self
+        let planned: BTreeSet<u32> = self
             .plan
             .values()
             .flatten()
             .filter(|t| &t.job == id)
-            .count() as u32;
-        let mut zones = by_zone(job, &self.machines);
-        let failed_on = job.failed_on.clone();
+            .map(|t| t.index)
+            .collect();
+        let mut zones = self.by_zone(job);
+        let waiting: Vec<u32> = job
+            .waiting
+            .iter()
+            .filter(|i| !planned.contains(i))
+            .collect();
         let mut used = used.clone();
-        for _ in planned..job.waiting.len() {
+        for index in waiting {
+            let Some(job) = self.jobs.get(id) else {
+                return;
+            };
             if !self.granted(&spec, &used, config) {
                 return;
             }
             let mut best: Option<(f64, usize, Vec<usize>)> = None;
             for (at, site) in sites.iter().enumerate() {
                 if !site.allows(&spec)
-                    || failed_on.contains(&site.id)
-                    || !zone_allows(&spec, &zones, &site.zone)
+                    || job.failed_on.contains(&site.id)
+                    || !zone_allows(job, &zones, index, &site.zone)
                     || !site.whole.fits(&need)
                 {
                     continue;
@@ -366,7 +372,10 @@
                 }
             }
             let Some((_, at, victims)) = best else {
-                return;
+                if job.bound.is_empty() {
+                    return;
+                }
+                continue;
             };
             let site = &mut sites[at];
             if let Some(machine) = self.machines.get_mut(&site.id) {
--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -47,7 +47,7 @@
         Self {
             rate,
             burst,
-            tokens: burst / 2.0,
+            tokens: (burst / 2.0).max(1.0),
             filled: Instant::now(),
         }
     }
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Leaves a single token of each kind.
+    pub fn empty(&self) {
+        let mut both = self.buckets.lock();
+        both.0.tokens = both.0.tokens.min(1.0);
+        both.1.tokens = both.1.tokens.min(1.0);
+    }
+
     /// Takes one request with `writes` writes, or says how long to wait.
     pub fn take(&self, class: Class, writes: u32) -> Result<(), Duration> {
         self.take_at(Instant::now(), class, writes)
--- a/crates/pulleywood-net/src/cloud.rs
+++ b/crates/pulleywood-net/src/cloud.rs
@@ -30,28 +30,40 @@
 #[derive(Debug)]
 pub struct CloudClient {
     client: Client,
-    budget: Budget,
+    /// For reading machine types, which every controller does.
+    own: Budget,
+    /// For the coordinator, of which there is one.
+    office: Budget,
 }
 
 const CALL_TIME: Duration = Duration::from_secs(5);
 
 impl CloudClient {
-    /// A client of the cloud at `addr` within `budget`.
-    pub fn new(addr: SocketAddr, budget: Budget) -> Self {
+    /// A client of the cloud at `addr`: `own` for this controller's calls,
+    /// `office` for those of the coordinator.
+    pub fn new(addr: SocketAddr, own: Budget, office: Budget) -> Self {
         Self {
             client: Client::new(addr, 2),
-            budget,
+            own,
+            office,
         }
     }
 
+    /// This controller has become the coordinator: what another used up just
+    /// before is not at hand.
+    pub fn take_office(&self) {
+        self.office.empty();
+    }
+
     fn send(
         &self,
         method: &str,
         path: &str,
         body: Option<&[u8]>,
+        budget: &Budget,
         class: Class,
     ) -> Result<Answer, CloudError> {
-        self.budget.take(class, 0).map_err(|_| CloudError::Budget)?;
+        budget.take(class, 0).map_err(|_| CloudError::Budget)?;
         match self.client.call(method, path, body, CALL_TIME) {
             Ok(a) if a.status == 200 => Ok(a),
             Ok(a) if a.status == 503 && holds(&a.body, "no capacity") => {
@@ -65,7 +77,7 @@
 
     /// The machine types, with current spot prices.
     pub fn flavors(&self) -> Result<Vec<Flavor>, CloudError> {
-        let answer = self.send("GET", "/flavors", None, Class::Owner)?;
+        let answer = self.send("GET", "/flavors", None, &self.own, Class::Lease)?;
         cbor::decode::<Flavors>(&answer.body)
             .map(|f| f.rigs)
             .map_err(|e| CloudError::Unknown(e.to_string()))
@@ -74,7 +86,8 @@
     /// Rents machines. After [`CloudError::Unknown`] the same request must be
     /// repeated, never another under the same name.
     pub fn hire(&self, hire: &Hire) -> Result<Vec<MachineId>, CloudError> {
-        let answer = self.send("POST", "/rentals", Some(&cbor::encode(hire)), Class::Owner)?;
+        let body = cbor::encode(hire);
+        let answer = self.send("POST", "/rentals", Some(&body), &self.office, Class::Owner)?;
         cbor::decode::<Hired>(&answer.body)
             .map(|h| h.horses)
             .map_err(|e| CloudError::Unknown(e.to_string()))
@@ -85,7 +98,8 @@
         let body = cbor::encode(&Hired {
             horses: machines.to_vec(),
         });
-        self.send("POST", "/rentals/release", Some(&body), Class::Owner)
+        let path = "/rentals/release";
+        self.send("POST", path, Some(&body), &self.office, Class::Owner)
             .map(|_| ())
     }
 
@@ -101,7 +115,8 @@
                 "GET",
                 &format!("/rentals?{from}page=500"),
                 None,
-                Class::House,
+                &self.office,
+                Class::User,
             )?;
             let page: RentalPage =
                 cbor::decode(&answer.body).map_err(|e| CloudError::Unknown(e.to_string()))?;
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -185,6 +185,10 @@
 pub struct Loan {
     /// The part that runs them.
     pub part: PartId,
+    /// The only zone they may run in: how a job that is spread over zones
+    /// stays so when several parts run it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
     /// The tasks, as ranges.
     pub tasks: String,
 }
@@ -213,23 +217,44 @@
         set
     }
 
-    /// Gives tasks of one part's share to another part.
-    pub fn lend(&mut self, from: PartId, to: PartId, tasks: &TaskSet) {
-        let mut shares = [(from, self.share(from)), (to, self.share(to))];
-        for i in tasks.iter() {
-            if shares[0].1.remove(i) {
-                shares[1].1.insert(i);
+    /// The tasks of one loan.
+    pub fn loan(&self, loan: &Loan) -> TaskSet {
+        let mut set = TaskSet::new();
+        set.add_chunk(&loan.tasks, 0, ALL, self.spec.tasks);
+        set
+    }
+
+    /// Gives tasks to a part, whoever runs them now, bound to a zone if one
+    /// is given.
+    pub fn lend(&mut self, to: PartId, zone: Option<&str>, tasks: &TaskSet) {
+        let mut loans: Vec<(PartId, Option<String>, TaskSet)> = Vec::new();
+        for loan in &self.lent {
+            let mut set = self.loan(loan);
+            for i in tasks.iter() {
+                set.remove(i);
             }
+            loans.push((loan.part, loan.zone.clone(), set));
         }
-        for (part, share) in shares.iter().filter(|(p, _)| *p != self.part) {
-            self.lent.retain(|l| l.part != *part);
-            if !share.is_empty() {
-                self.lent.push(Loan {
-                    part: *part,
-                    tasks: share.chunk_text(0, ALL),
-                });
+        if to != self.part {
+            let same = loans
+                .iter_mut()
+                .find(|(p, z, _)| *p == to && z.as_deref() == zone);
+            match same {
+                Some((.., set)) => tasks.iter().for_each(|i| {
+                    set.insert(i);
+                }),
+                None => loans.push((to, zone.map(str::to_owned), tasks.clone())),
             }
         }
+        self.lent = loans
+            .into_iter()
+            .filter(|(.., set)| !set.is_empty())
+            .map(|(part, zone, set)| Loan {
+                part,
+                zone,
+                tasks: set.chunk_text(0, ALL),
+            })
+            .collect();
     }
 }
 
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -21,6 +21,8 @@
 /// Share of the published rates that all controllers use together: lates and
 /// bunched packets need the rest.
 const RATE_SHARE: f64 = 0.9;
+/// Share of the cloud's rate for reading machine types.
+const CLOUD_TYPES_SHARE: f64 = 0.1;
 
 /// Why a controller cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -58,11 +60,15 @@
                 1.0,
             ),
         );
-        // Machine types are read by each controller; all else is the
-        // coordinator's, which may use most of the rate.
+        // Machine types are read by each controller, now and then; all else is
+        // the coordinator's, of which there is one.
+        let types = CLOUD_TYPES_SHARE / members;
+        let office = RATE_SHARE - CLOUD_TYPES_SHARE;
+        let cloud_rps = cluster.cloud.rps;
         let cloud = CloudClient::new(
             address(&settings.services.cloud)?,
-            Budget::new(cluster.cloud.rps * share, cluster.cloud.rps * share, 2.0),
+            Budget::new(cloud_rps * types, 0.0, 2.0),
+            Budget::new(cloud_rps * office, 0.0, 2.0),
         );
         let peers = settings
             .seeds
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -27,7 +27,8 @@
 /// A rental request without a definite answer yet.
 struct Pending {
     hire: Hire,
-    part: PartId,
+    /// The part each machine is for.
+    parts: Vec<PartId>,
 }
 
 struct Office {
@@ -60,6 +61,7 @@
             Ok(Some((term, stamp))) => {
                 if office.as_ref().is_none_or(|o| o.term != term) {
                     log::info!("coordinator under term {term}");
+                    shared.cloud.take_office();
                     office = Some(Office {
                         term,
                         stamp,
@@ -332,16 +334,16 @@
                 release(shared, office, batch, why);
             }
         }
-        Action::Hire(kind, count, part) => {
+        Action::Hire(kind, parts) => {
             office.hires += 1;
             let hire = Hire {
                 hire: format!("h-{}-{}", office.term, office.hires),
                 rig: kind.flavor,
                 yard: kind.zone,
                 loaner: kind.spot,
-                how_many: count,
+                how_many: parts.len() as u32,
             };
-            hire_now(shared, office, Pending { hire, part }, now);
+            hire_now(shared, office, Pending { hire, parts }, now);
         }
     }
 }
@@ -364,20 +366,20 @@
     match shared.cloud.hire(hire) {
         Ok(machines) => {
             log::info!(
-                "rented {} of {} {} in {} (spot: {}) for part {}",
+                "rented {} of {} {} in {} (spot: {}) for parts {:?}",
                 machines.len(),
                 hire.how_many,
                 hire.rig,
                 hire.yard,
                 hire.loaner,
-                pending.part
+                pending.parts
             );
             if (machines.len() as u32) < hire.how_many {
                 office.memory.refused(&kind, now);
             } else {
                 office.memory.filled(&kind);
             }
-            record_machines(shared, office, &machines, &kind, pending.part);
+            record_machines(shared, office, &machines, &kind, &pending.parts);
         }
         Err(CloudError::NoCapacity) => {
             log::info!("no capacity for {kind:?}");
@@ -397,9 +399,9 @@
     office: &Office,
     machines: &[MachineId],
     kind: &Kind,
-    part: PartId,
+    parts: &[PartId],
 ) {
-    let record = MachineRecord {
+    let record = |part: PartId| MachineRecord {
         part,
         term: Term(0),
         flavor: kind.flavor.clone(),
@@ -409,18 +411,23 @@
         retiring: false,
     };
     let ops = shared.settings.cluster.state.txn_ops as usize;
-    for batch in machines.chunks(ops) {
+    let all: Vec<(&MachineId, MachineRecord)> = machines
+        .iter()
+        .zip(parts)
+        .map(|(id, part)| (id, record(*part)))
+        .collect();
+    for batch in all.chunks(ops) {
         let mut commit = Commit::default().when(ROLE, office.stamp);
-        for id in batch {
+        for (id, record) in batch {
             commit = commit
                 .when(machine_key(id), Stamp(0))
-                .write(machine_key(id), &record);
+                .write(machine_key(id), record);
         }
         match shared.state.commit(Class::Owner, &commit) {
             Ok(Outcome::Applied(stamp)) => {
                 let now = shared.clock.now();
                 let mut node = shared.node.lock();
-                for id in batch {
+                for (id, record) in batch {
                     node.put_machine(id, record.clone(), stamp, now);
                 }
             }
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -1,6 +1,7 @@
 //! Leases, parts and done batches: what makes this controller an owner.
 
 use crate::node::{Node, Owned, Shared, read};
+use pulleywood_core::ledger::Offer;
 use pulleywood_core::{PartLedger, grants};
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError, cloud};
@@ -640,12 +641,12 @@
         };
         let offers = owned.ledger.offer(like);
         let mut commits = Vec::new();
-        for (id, tasks) in offers {
+        for Offer { id, zone, tasks } in offers {
             let Some(job) = owned.ledger.jobs.get(&id) else {
                 continue;
             };
             let mut record = job.record(job.committed.chunk_text(0, config.chunk));
-            record.lend(from, to, &tasks);
+            record.lend(to, zone.as_deref(), &tasks);
             let key = job_key(id.part(config.parts), &id);
             let commit = Commit::default()
                 .when(part_key(from), owned.stamp)
