--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -303,6 +303,17 @@
     Fresh,
 }
 
+/// A task was first seen running.
+#[derive(Debug, Clone)]
+pub struct Started {
+    /// Its job's class.
+    pub class: String,
+    /// From when its job was first seen here to its launch.
+    pub waited: Duration,
+    /// From its launch to its run: mostly the image.
+    pub fetched: Duration,
+}
+
 /// What a part's owner knows.
 #[derive(Debug)]
 pub struct PartLedger {
@@ -326,6 +337,7 @@
     pub(crate) planned_at: Option<Moment>,
     pub(crate) dirty_jobs: BTreeSet<JobId>,
     attempts: u64,
+    started: Vec<Started>,
 }
 
 impl PartLedger {
@@ -344,6 +356,7 @@
             planned_at: None,
             dirty_jobs: BTreeSet::new(),
             attempts: 0,
+            started: Vec::new(),
         }
     }
 
@@ -688,8 +701,15 @@
             return false;
         }
         slot.state = after;
-        if after == SlotState::Running {
-            slot.running_since.get_or_insert(now);
+        if after == SlotState::Running && slot.running_since.is_none() {
+            slot.running_since = Some(now);
+            if let Some(job) = self.jobs.get(&slot.task.job) {
+                self.started.push(Started {
+                    class: job.spec.class.clone(),
+                    waited: slot.since.since(job.seen),
+                    fetched: now.since(slot.since),
+                });
+            }
         }
         let (task, attempt) = (slot.task.clone(), slot.attempt);
         let spec = slot.spec.clone();
@@ -995,6 +1015,11 @@
             .is_some_and(|m| !m.unheard && !m.leaving && m.slots.is_empty())
     }
 
+    /// Tasks that started since this was last asked.
+    pub fn take_started(&mut self) -> Vec<Started> {
+        std::mem::take(&mut self.started)
+    }
+
     /// Whether any machine is still to be heard after a take-over.
     pub fn rebuilding(&self) -> bool {
         self.machines.values().any(|m| m.unheard)
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -1,7 +1,8 @@
 //! Leases, parts and done batches: what makes this controller an owner.
 
 use crate::node::{Node, Owned, Shared, read};
-use pulleywood_core::ledger::Offer;
+use hdrhistogram::Histogram;
+use pulleywood_core::ledger::{Offer, Started};
 use pulleywood_core::{PartLedger, grants};
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError, cloud};
@@ -13,6 +14,7 @@
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::worker::Direct;
 use pulleywood_wire::{JobId, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -523,9 +525,61 @@
     Ok(())
 }
 
+/// How long tasks waited for their launch and then for their image, by class,
+/// for the log.
+struct Waits {
+    since: Moment,
+    classes: BTreeMap<String, [Histogram<u32>; 2]>,
+}
+
+impl Waits {
+    fn new(since: Moment) -> Self {
+        Self {
+            since,
+            classes: BTreeMap::new(),
+        }
+    }
+
+    fn add(&mut self, started: Vec<Started>) {
+        const HIGHEST_MS: u64 = 86_400_000;
+        for s in started {
+            let new = || Histogram::new_with_max(HIGHEST_MS, 2).ok();
+            if !self.classes.contains_key(&s.class)
+                && let (Some(a), Some(b)) = (new(), new())
+            {
+                self.classes.insert(s.class.clone(), [a, b]);
+            }
+            if let Some([waited, fetched]) = self.classes.get_mut(&s.class) {
+                waited.saturating_record(s.waited.as_millis() as u64);
+                fetched.saturating_record(s.fetched.as_millis() as u64);
+            }
+        }
+    }
+
+    fn log(&mut self, now: Moment) {
+        const EVERY: Duration = Duration::from_secs(30);
+        if now.since(self.since) < EVERY {
+            return;
+        }
+        self.since = now;
+        for (class, [waited, fetched]) in std::mem::take(&mut self.classes) {
+            let s = |h: &Histogram<u32>, q| h.value_at_quantile(q) as f64 / 1000.0;
+            log::info!(
+                "{class}: {} tasks started; launched after {:.1} s (p50) {:.1} s (p90), ran {:.1} s (p50) {:.1} s (p90) later",
+                waited.len(),
+                s(&waited, 0.5),
+                s(&waited, 0.9),
+                s(&fetched, 0.5),
+                s(&fetched, 0.9),
+            );
+        }
+    }
+}
+
 /// Lets time pass in the ledgers and commits done batches; runs for the life
 /// of the process.
 pub fn flush(shared: &Arc<Shared>) {
+    let mut waits = Waits::new(shared.clock.now());
     loop {
         std::thread::sleep(Duration::from_millis(200));
         let now = shared.clock.now();
@@ -534,7 +588,9 @@
             let config = Arc::clone(&node.config);
             for owned in node.owned.values_mut().filter(|o| o.loaded) {
                 owned.ledger.tick(now, &config);
+                waits.add(owned.ledger.take_started());
             }
+            waits.log(now);
             if !node.may_act(now) {
                 continue;
             }
@@ -568,10 +624,11 @@
             if let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) {
                 owned.ledger.batch_applied(&batch, stamp);
             }
-            log::debug!(
-                "part {part}: {} jobs' done tasks at {stamp}",
-                batch.jobs.len()
-            );
+            for job in &batch.jobs {
+                let (id, n) = (&job.id, job.tasks.len());
+                let all = if job.over { ", all of them" } else { "" };
+                log::debug!("part {part}: {n} tasks of {id} done{all}");
+            }
         }
         // A conflict, or no answer: what is stored decides, not what was sent.
         Ok(Outcome::Conflict) | Err(StateError::Unknown(_)) => {
