Bound batches by the write budget; let a large call leave a debt

After a take-over a part's done batch had 16 writes; the bucket of a controller's share holds 7.5 tokens, so it waited for ever (debug log: 'done batch: budget used up'). Batches hold at most what the bucket can give at once, and a call larger than the bucket waits until it is full and leaves a debt. Jobs of a rank are now served by the promises that can still be kept for the work they take, and victims are taken after their first 30 s if possible. Small test added.

--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -3,7 +3,7 @@
 use pulleywood_wire::cloud::Flavor;
 use pulleywood_wire::job::{JobSpec, Shape};
 use pulleywood_wire::record::{Slots, chunk_tasks};
-use pulleywood_wire::settings::Settings;
+use pulleywood_wire::settings::{Objective, Settings};
 use pulleywood_wire::time::{secs, surely_past, surely_within};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -75,8 +75,8 @@
     pub lease: Duration,
     /// Time for a cancellation.
     pub cancel: Duration,
-    /// Changes a transaction.
-    pub txn_ops: usize,
+    /// Changes that a batch should hold; one job's may pass it.
+    pub batch_ops: usize,
     /// How many parts there are.
     pub parts: u32,
     /// Tasks that one record of done tasks covers.
@@ -85,6 +85,8 @@
     pub zones: Vec<String>,
     /// Teams.
     pub teams: BTreeMap<String, Team>,
+    /// What is expected of classes; those without a class hold for all.
+    pub objectives: Vec<Objective>,
     /// Machine types, once known.
     pub flavors: BTreeMap<String, Flavor>,
     /// The operators' levers.
@@ -115,11 +117,12 @@
             report: secs(cluster.workers.report_s),
             lease: secs(cluster.workers.lease_s),
             cancel: secs(cluster.workers.cancel_s),
-            txn_ops: cluster.state.txn_ops as usize,
+            batch_ops: cluster.state.txn_ops as usize,
             parts: 0,
             chunk: chunk_tasks(cluster.state.value_kb),
             zones: cluster.zones.clone(),
             teams,
+            objectives: cluster.objectives.clone(),
             flavors: BTreeMap::new(),
             policy,
         }
@@ -156,6 +159,28 @@
             && Room::of_flavor(flavor).fits(&Room::of_task(spec))
     }
 
+    /// How many of the expectations of its class a job can still meet, and the
+    /// longest time that any of them allows. An end is expected after the
+    /// estimated run, a start at once.
+    pub fn expectations(&self, spec: &JobSpec, age: Duration) -> (u32, f64) {
+        let age = age.as_secs_f64();
+        let mut open = 0;
+        let mut longest: f64 = 0.0;
+        for o in &self.objectives {
+            if o.class.as_ref().is_some_and(|c| *c != spec.class) {
+                continue;
+            }
+            let run = if o.kind == "finished" {
+                spec.estimate_s.0
+            } else {
+                0.0
+            };
+            open += u32::from(age + run <= o.within_s);
+            longest = longest.max(o.within_s);
+        }
+        (open, longest)
+    }
+
     /// Why a job can never run, if so.
     pub fn never_runs(&self, spec: &JobSpec) -> Option<&'static str> {
         let Some(team) = self.teams.get(&spec.team) else {
--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -65,7 +65,8 @@
             } else {
                 chunks.len()
             };
-            if commit.changes.len() + ops > config.txn_ops || bytes > MAX_BYTES {
+            let full = commit.changes.len() + ops > config.batch_ops || bytes > MAX_BYTES;
+            if full && !jobs.is_empty() {
                 break;
             }
             let key = job_key(id.part(config.parts), id);
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -333,6 +333,8 @@
     pub elsewhere: BTreeMap<String, Slots>,
     /// The cluster's zones.
     pub zones: Vec<String>,
+    /// What to add to a time of day in milliseconds for this process's time.
+    pub day_offset_ms: i64,
     pub(crate) plan: BTreeMap<MachineId, Vec<TaskId>>,
     pub(crate) planned_at: Option<Moment>,
     pub(crate) dirty_jobs: BTreeSet<JobId>,
@@ -352,6 +354,7 @@
             silent_until,
             elsewhere: BTreeMap::new(),
             zones,
+            day_offset_ms: 0,
             plan: BTreeMap::new(),
             planned_at: None,
             dirty_jobs: BTreeSet::new(),
@@ -360,6 +363,12 @@
         }
     }
 
+    /// When a job was submitted, on this process's clock.
+    pub(crate) fn submitted(&self, job: &Job) -> Moment {
+        let at = i64::try_from(job.at_ms).unwrap_or(i64::MAX);
+        Moment(at.saturating_add(self.day_offset_ms).max(0) as u64)
+    }
+
     /// Something changed: the plan is made anew.
     pub fn disturb(&mut self) {
         self.planned_at = None;
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -105,6 +105,9 @@
 struct Turn {
     id: JobId,
     rank: Rank,
+    /// Expectations that can still be met, for the work that it takes. When
+    /// more waits than fits, this keeps the most promises.
+    worth: f64,
     at_ms: u64,
 }
 
@@ -119,7 +122,7 @@
         let mut sites = self.sites(now, config);
         let mut used = self.used(config);
         let mut unplaced: Vec<JobId> = Vec::new();
-        let mut queues = self.queues(now);
+        let mut queues = self.queues(now, config);
         while let Some(team) = self.next_team(&queues, &used, config) {
             let Some(queue) = queues.get_mut(&team) else {
                 break;
@@ -188,7 +191,7 @@
     }
 
     /// Waiting jobs by team, next one last.
-    fn queues(&self, now: Moment) -> BTreeMap<String, Vec<Turn>> {
+    fn queues(&self, now: Moment, config: &Config) -> BTreeMap<String, Vec<Turn>> {
         let mut queues: BTreeMap<String, Vec<Turn>> = BTreeMap::new();
         for (id, job) in &self.jobs {
             if job.waiting.is_empty() || now < job.held_until || self.may_run_unseen(job) {
@@ -197,15 +200,33 @@
             queues.entry(job.spec.team.clone()).or_default().push(Turn {
                 id: id.clone(),
                 rank: job.spec.rank,
+                worth: self.worth(job, now, config),
                 at_ms: job.at_ms,
             });
         }
         for queue in queues.values_mut() {
-            queue.sort_by(|a, b| (a.rank, b.at_ms, &b.id).cmp(&(b.rank, a.at_ms, &a.id)));
+            queue.sort_by(|a, b| {
+                a.rank
+                    .cmp(&b.rank)
+                    .then(a.worth.total_cmp(&b.worth))
+                    .then((b.at_ms, &b.id).cmp(&(a.at_ms, &a.id)))
+            });
         }
         queues
     }
 
+    /// What serving a job now is worth, within its rank.
+    fn worth(&self, job: &Job, now: Moment, config: &Config) -> f64 {
+        let age = now.since(self.submitted(job));
+        let (open, longest) = config.expectations(&job.spec, age);
+        // Nobody waits for ever, however much comes in.
+        if age.as_secs_f64() > 3.0 * longest {
+            return f64::INFINITY;
+        }
+        let work = f64::from(job.waiting.len()) * job.spec.estimate_s.0.max(1.0);
+        f64::from(open) / work
+    }
+
     /// A team's usage over all parts, as far as known.
     fn everywhere(&self, team: &str, used: &BTreeMap<String, Slots>) -> Slots {
         let mut sum = used.get(team).copied().unwrap_or_default();
@@ -455,6 +476,9 @@
     }
 }
 
+/// A task that has run this long has started in its user's eyes.
+const FRESH_S: f64 = 30.0;
+
 /// Seconds of work and waiting that stopping a task costs.
 fn loss(slot: &Slot, now: Moment) -> f64 {
     let Some(spec) = &slot.spec else { return 0.0 };
@@ -464,9 +488,11 @@
     if spec.shape == Shape::Service {
         return 60.0 + ran;
     }
+    // A start that is undone at once was none to its user.
+    let fresh = if ran < FRESH_S { 20.0 } else { 0.0 };
     if spec.checkpoint_s.0 > 0.0 {
-        spec.save_s.0 + 2.0
+        spec.save_s.0 + fresh
     } else {
-        ran
+        ran + fresh
     }
 }
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -44,11 +44,12 @@
         report: Duration::from_secs(1),
         lease: Duration::from_secs(10),
         cancel: Duration::from_secs(40),
-        txn_ops: 12,
+        batch_ops: 12,
         parts: 1,
         chunk: 1024,
         zones: vec!["a".into(), "b".into()],
         teams: BTreeMap::from([("red".to_owned(), team.clone()), ("blue".to_owned(), team)]),
+        objectives: vec![],
         flavors: BTreeMap::from([("g4".to_owned(), flavor)]),
         policy: Policy {
             weights: BTreeMap::new(),
--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -40,14 +40,14 @@
 }
 
 impl Bucket {
-    /// Starts half full: a process that restarts often must not bring a whole
+    /// Starts three quarters full: a process that restarts often must not bring a whole
     /// burst with it each time.
     fn new(rate: f64, burst: f64) -> Self {
         let burst = burst.max(1.0);
         Self {
             rate,
             burst,
-            tokens: (burst / 2.0).max(1.0),
+            tokens: (burst * 0.75).max(1.0),
             filled: Instant::now(),
         }
     }
@@ -58,9 +58,11 @@
         self.filled = now;
     }
 
-    /// Time until `n` tokens can be taken; none if they can be now.
+    /// Time until `n` tokens can be taken; none if they can be now. A call
+    /// larger than the bucket waits until it is full and leaves a debt: if it
+    /// had to wait for more than the bucket holds, it would wait for ever.
     fn lacks(&self, n: f64, reserve: f64) -> Option<Duration> {
-        let need = (n + reserve * self.burst).min(self.burst.max(n));
+        let need = (n + reserve * self.burst).min(self.burst);
         (self.tokens < need)
             .then(|| Duration::from_secs_f64(((need - self.tokens) / self.rate).min(60.0)))
     }
@@ -84,6 +86,12 @@
         }
     }
 
+    /// Most writes that one call should hold so that it need not wait for a
+    /// full bucket.
+    pub fn handy_writes(&self) -> usize {
+        (self.buckets.lock().1.burst * 0.7).max(1.0) as usize
+    }
+
     /// Leaves a single token of each kind.
     pub fn empty(&self) {
         let mut both = self.buckets.lock();
@@ -137,6 +145,22 @@
         }
     }
 
+    #[test]
+    fn a_call_larger_than_the_bucket_is_served_and_paid_for() {
+        // Done batches of 16 writes met a bucket of 7.5 and waited for ever: a
+        // part's finished tasks were never committed.
+        let start = Instant::now();
+        let budget = Budget::new(60.0, 7.5, 1.0);
+        let mut served = Vec::new();
+        for ms in 0..20_000u64 {
+            let now = start + Duration::from_millis(ms);
+            if budget.take_at(now, Class::Owner, 16).is_ok() {
+                served.push(ms);
+            }
+        }
+        assert!((8..=10).contains(&served.len()), "{served:?}");
+    }
+
     #[test]
     fn shares_of_all_controllers_stay_within_the_published_rate() {
         let start = Instant::now();
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Most writes that one transaction should hold.
+    pub fn handy_writes(&self) -> usize {
+        self.budget.handy_writes()
+    }
+
     fn note(&self, ok: bool) {
         let now = self.started.elapsed().as_millis() as u64 + 1;
         let slot = if ok { &self.last_ok } else { &self.last_bad };
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -78,7 +78,8 @@
                 Ok((MemberId::from(s.member.as_str()), client))
             })
             .collect::<Result<_, StartError>>()?;
-        let config = Config::new(&settings, policy);
+        let mut config = Config::new(&settings, policy);
+        config.batch_ops = config.batch_ops.min(state.handy_writes());
         let shared = Arc::new(Shared {
             me: settings.member.as_str().into(),
             boot: fastrand::u64(1..1 << 53),
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -410,7 +410,7 @@
         endpoint: String::new(),
         retiring: false,
     };
-    let ops = shared.settings.cluster.state.txn_ops as usize;
+    let ops = shared.node.lock().config.batch_ops;
     let all: Vec<(&MachineId, MachineRecord)> = machines
         .iter()
         .zip(parts)
@@ -456,7 +456,7 @@
             .filter_map(|id| Some((id.clone(), node.view.machines.get(id)?.1)))
             .collect()
     };
-    let ops = shared.settings.cluster.state.txn_ops as usize;
+    let ops = shared.node.lock().config.batch_ops;
     for batch in stored.chunks(ops) {
         let mut commit = Commit::default().when(ROLE, office.stamp);
         for (id, stamp) in batch {
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -1,5 +1,6 @@
 //! Leases, parts and done batches: what makes this controller an owner.
 
+use crate::clock::time_of_day_ms;
 use crate::node::{Node, Owned, Shared, read};
 use hdrhistogram::Histogram;
 use pulleywood_core::ledger::{Offer, Started};
@@ -306,6 +307,7 @@
             return Ok(());
         }
         let mut ledger = PartLedger::new(part, term, silent_until, config.zones.clone());
+        ledger.day_offset_ms = now.0 as i64 - time_of_day_ms() as i64;
         if !has_grant {
             node.put_grant(part, first_grant, stamp);
         }
