Wait for warm room when it frees sooner than an image arrives; keep images

A task goes to a machine without its image only if room on one that has it is not expected sooner; machines' images are kept in their records.

--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -11,6 +11,7 @@
 
 use crate::config::Config;
 use crate::room::{Room, add};
+use pulleywood_wire::cbor::Amount;
 use pulleywood_wire::job::Shape;
 use pulleywood_wire::peer::Demand;
 use pulleywood_wire::record::{
@@ -507,6 +508,11 @@
                 machine.stamp = stamp;
             }
             None => {
+                let record_images = record
+                    .images
+                    .iter()
+                    .map(|(n, gb)| (n.clone(), gb.0))
+                    .collect();
                 let machine = Machine {
                     leaving: record.retiring,
                     record,
@@ -519,7 +525,7 @@
                     answered: None,
                     taken_at: None,
                     slots: Vec::new(),
-                    images: VecDeque::new(),
+                    images: record_images,
                     idle_since: None,
                     failed_jobs: BTreeSet::new(),
                     unfit: false,
@@ -1029,6 +1035,28 @@
         std::mem::take(&mut self.started)
     }
 
+    /// Records of machines whose images have changed since they were written.
+    pub fn new_images(&self) -> Vec<(MachineId, MachineRecord, Stamp)> {
+        self.machines
+            .iter()
+            .filter(|(_, m)| m.confirmed && !m.leaving && !m.record.endpoint.is_empty())
+            .filter_map(|(id, m)| {
+                let known: BTreeSet<&str> =
+                    m.record.images.iter().map(|(n, _)| n.as_str()).collect();
+                let now: BTreeSet<&str> = m.images.iter().map(|(n, _)| n.as_str()).collect();
+                (known != now).then(|| {
+                    let mut record = m.record.clone();
+                    record.images = m
+                        .images
+                        .iter()
+                        .map(|(n, gb)| (n.clone(), Amount(*gb)))
+                        .collect();
+                    (id.clone(), record, m.stamp)
+                })
+            })
+            .collect()
+    }
+
     /// Whether any machine is still to be heard after a take-over.
     pub fn rebuilding(&self) -> bool {
         self.machines.values().any(|m| m.unheard)
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -34,6 +34,8 @@
     queued_gb: f64,
     /// Share held by tasks that may not run on spot machines.
     pinned: f64,
+    /// Tasks expected to end here a second.
+    ends: f64,
 }
 
 impl Site {
@@ -111,6 +113,15 @@
     at_ms: u64,
 }
 
+/// Tasks a second that end on machines which have the job's image.
+fn warm_rate(sites: &[Site], spec: &JobSpec) -> f64 {
+    sites
+        .iter()
+        .filter(|s| s.allows(spec) && s.delay(spec) <= 0.0)
+        .map(|s| s.ends)
+        .sum()
+}
+
 impl PartLedger {
     /// Makes the plan anew if it is out of date.
     pub(crate) fn replan(&mut self, now: Moment, config: &Config) {
@@ -122,6 +133,7 @@
         let mut sites = self.sites(now, config);
         let mut used = self.used(config);
         let mut unplaced: Vec<JobId> = Vec::new();
+        let mut ahead = 0;
         let mut queues = self.queues(now, config);
         while let Some(team) = self.next_team(&queues, &used, config) {
             let Some(queue) = queues.get_mut(&team) else {
@@ -131,7 +143,7 @@
                 queues.remove(&team);
                 continue;
             };
-            if !self.place(&turn.id, &mut sites, &mut used, config) {
+            if !self.place(&turn.id, &mut sites, &mut used, &mut ahead, config) {
                 unplaced.push(turn.id);
             }
         }
@@ -160,11 +172,15 @@
             let mut coming = Room::default();
             let mut fetching = Vec::new();
             let mut queued_gb = 0.0;
+            let mut ends = 0.0;
             for slot in m.slots.iter().filter(|s| s.holds_room()) {
                 let Some(spec) = &slot.spec else { continue };
                 if slot.halt.is_some() {
                     coming += Room::of_task(spec);
                 }
+                if spec.shape != Shape::Service && slot.state == SlotState::Running {
+                    ends += 1.0 / spec.estimate_s.0.max(5.0);
+                }
                 let waits = matches!(slot.state, SlotState::Sent { .. } | SlotState::Fetching);
                 let has = m.images.iter().any(|(n, _)| *n == spec.image);
                 if waits && !has && !fetching.contains(&spec.image) {
@@ -185,6 +201,7 @@
                 fetching,
                 queued_gb,
                 pinned: m.pinned().share_of(&whole),
+                ends,
             });
         }
         sites
@@ -285,6 +302,7 @@
         id: &JobId,
         sites: &mut [Site],
         used: &mut BTreeMap<String, Slots>,
+        ahead: &mut u32,
         config: &Config,
     ) -> bool {
         let Some(job) = self.jobs.get(id) else {
@@ -305,21 +323,23 @@
             }
         }
         let mut all = true;
+        let mut warm = None;
         for index in job.waiting.iter() {
             if !self.granted(spec, used, config) {
                 // More room would not help.
                 return true;
             }
             let best = sites
-                .iter_mut()
-                .filter(|s| {
+                .iter()
+                .enumerate()
+                .filter(|(_, s)| {
                     s.free.fits(&need)
                         && s.allows(spec)
                         && !job.failed_on.contains(&s.id)
                         && zone_allows(job, &zones, index, &s.zone)
                 })
-                .min_by(|a, b| a.cost(spec, config).total_cmp(&b.cost(spec, config)));
-            let Some(site) = best else {
+                .min_by(|(_, a), (_, b)| a.cost(spec, config).total_cmp(&b.cost(spec, config)));
+            let Some((at, site)) = best else {
                 if job.bound.is_empty() {
                     return false;
                 }
@@ -327,6 +347,19 @@
                 all = false;
                 continue;
             };
+            // Room on a machine that has the image may come free sooner than
+            // another fetches it.
+            let delay = site.delay(spec);
+            if delay > 1.0 && spec.shape == Shape::Array {
+                let rate = *warm.get_or_insert_with(|| warm_rate(sites, spec));
+                if rate > 0.0 && f64::from(*ahead + 1) / rate < delay {
+                    *ahead += 1;
+                    continue;
+                }
+            }
+            let Some(site) = sites.get_mut(at) else {
+                break;
+            };
             site.take(spec);
             *zones.entry(site.zone.clone()).or_insert(0) += 1;
             add(used.entry(spec.team.clone()).or_default(), need.slots());
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -134,6 +134,7 @@
                 spot: false,
                 endpoint: "10.0.0.1:1".into(),
                 retiring: false,
+                images: Vec::new(),
             };
             ledger.put_machine(&machine(n), record, Stamp(1), inherited, at(0.0));
         }
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -141,6 +141,10 @@
     /// To be given back to the cloud; nothing is launched there.
     #[serde(default)]
     pub retiring: bool,
+    /// Images it has, with their GB, most recently used last: written now and
+    /// then, so that a take-over knows where tasks start at once.
+    #[serde(default)]
+    pub images: Vec<(String, Amount)>,
 }
 
 /// Amounts of one team's slots.
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -409,6 +409,7 @@
         spot: kind.spot,
         endpoint: String::new(),
         retiring: false,
+        images: Vec::new(),
     };
     let ops = shared.node.lock().config.batch_ops;
     let all: Vec<(&MachineId, MachineRecord)> = machines
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -582,6 +582,7 @@
 /// of the process.
 pub fn flush(shared: &Arc<Shared>) {
     let mut waits = Waits::new(shared.clock.now());
+    let mut images_at = shared.clock.now();
     loop {
         std::thread::sleep(Duration::from_millis(200));
         let now = shared.clock.now();
@@ -605,6 +606,49 @@
         for part in parts {
             flush_part(shared, part, now);
         }
+        if now.since(images_at) >= IMAGES_EVERY {
+            images_at = now;
+            write_images(shared);
+        }
+    }
+}
+
+const IMAGES_EVERY: Duration = Duration::from_secs(5);
+
+/// Writes which images machines have, when nothing more urgent needs the
+/// tokens.
+fn write_images(shared: &Arc<Shared>) {
+    let batches: Vec<_> = {
+        let node = shared.node.lock();
+        let ops = node.config.batch_ops;
+        node.owned
+            .iter()
+            .filter(|(_, o)| o.loaded && !o.leaving)
+            .flat_map(|(part, o)| {
+                let mut changed = o.ledger.new_images();
+                changed.truncate(ops / 2 + 1);
+                (!changed.is_empty()).then_some((*part, o.stamp, changed))
+            })
+            .collect()
+    };
+    for (part, part_stamp, machines) in batches {
+        let mut commit = Commit::default().when(part_key(part), part_stamp);
+        for (id, record, stamp) in &machines {
+            commit = commit
+                .when(machine_key(id), *stamp)
+                .write(machine_key(id), record);
+        }
+        match shared.state.commit(Class::House, &commit) {
+            Ok(Outcome::Applied(stamp)) => {
+                let now = shared.clock.now();
+                let mut node = shared.node.lock();
+                for (id, record, _) in machines {
+                    node.put_machine(&id, record, stamp, now);
+                }
+            }
+            // The watch brings what is stored; the next round tries again.
+            other => log::debug!("images of part {part}: {other:?}"),
+        }
     }
 }
 
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -125,6 +125,7 @@
         spot: report.spot,
         endpoint: String::new(),
         retiring: false,
+        images: Vec::new(),
     });
     record.endpoint.clone_from(&report.endpoint);
     let key = machine_key(&report.machine);
