--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -7,6 +7,7 @@
 use pulleywood_wire::job::Rank;
 use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
 use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::time::secs;
 use pulleywood_wire::{MachineId, Moment, PartId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -33,8 +34,8 @@
     Drain(PartId, Vec<MachineId>),
     /// A machine is given back once its part let it go.
     Retire(MachineId, PartId),
-    /// Machines are rented for parts, one for each place in the list.
-    Hire(Kind, Vec<PartId>),
+    /// Machines are rented; whichever part hears them first adopts them.
+    Hire(Kind, u32),
     /// Machines are released that nobody commands, or that are surely dead.
     Release(Vec<MachineId>, &'static str),
 }
@@ -46,6 +47,8 @@
     /// When a machine was first known here, and first missed in the list.
     first_seen: BTreeMap<MachineId, Moment>,
     missed_since: BTreeMap<MachineId, Moment>,
+    /// Machines that are on their way up, and since when.
+    booting: BTreeMap<MachineId, (Kind, Moment)>,
     moved: BTreeMap<MachineId, Moment>,
     /// Machines being emptied.
     draining: BTreeSet<MachineId>,
@@ -64,6 +67,34 @@
         self.refused.remove(kind);
     }
 
+    /// Machines were rented: they count as room from now on.
+    pub fn hired(&mut self, machines: &[MachineId], kind: &Kind, now: Moment) {
+        for id in machines {
+            self.booting.insert(id.clone(), (kind.clone(), now));
+        }
+    }
+
+    /// Forgets machines that are up or will not come, and learns of others
+    /// from the list, which another coordinator may have rented.
+    fn update_booting(&mut self, config: &Config, seen: &Seen<'_>) {
+        for rental in seen.list.unwrap_or_default() {
+            if rental.status == RentalStatus::Starting {
+                let kind = Kind {
+                    flavor: rental.flavor.clone(),
+                    zone: rental.zone.clone(),
+                    spot: rental.spot,
+                };
+                self.booting
+                    .entry(rental.machine.clone())
+                    .or_insert_with(|| (kind, seen.now - secs(rental.age_s.0)));
+            }
+        }
+        self.booting.retain(|id, (kind, since)| {
+            let boot = config.flavors.get(&kind.flavor).map_or(0.0, |f| f.boot_s.0);
+            !seen.records.contains_key(id) && seen.now.since(*since) < secs(boot * 2.5 + 10.0)
+        });
+    }
+
     fn open(&self, kind: &Kind, now: Moment) -> bool {
         self.refused
             .get(kind)
@@ -146,7 +177,8 @@
 /// A machine's room while demand is spread over it.
 struct Bin {
     machine: Option<MachineId>,
-    part: PartId,
+    /// None while it is on its way: any part may adopt it.
+    part: Option<PartId>,
     kind: Kind,
     free: Room,
     whole: Room,
@@ -157,6 +189,26 @@
 }
 
 impl Bin {
+    /// A machine that is not up yet.
+    fn fresh(machine: Option<MachineId>, kind: Kind, flavor: &Flavor) -> Bin {
+        let whole = Room::of_flavor(flavor);
+        Bin {
+            machine,
+            part: None,
+            kind,
+            free: whole,
+            whole,
+            taken: 0,
+            held: Vec::new(),
+            pinned: 0.0,
+        }
+    }
+
+    /// Of this part, or of none yet.
+    fn is_of(&self, part: PartId) -> bool {
+        self.part.is_none_or(|p| p == part)
+    }
+
     /// Room that yields to a rank, what is free included.
     fn yields(&self, rank: Rank) -> Room {
         let mut room = self.free;
@@ -185,7 +237,7 @@
 }
 
 /// Most machines that one request rents.
-const MAX_HIRE: usize = 50;
+const MAX_HIRE: u32 = 50;
 
 /// One round of decisions.
 pub fn decide(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
@@ -206,6 +258,7 @@
         .values()
         .flat_map(|p| p.machines.iter().map(move |m| (&m.machine, (m, p.part))))
         .collect();
+    memory.update_booting(config, seen);
     let mut bins = Vec::new();
     for (id, record) in seen.records {
         let Some(flavor) = config.flavors.get(&record.flavor) else {
@@ -240,7 +293,7 @@
         };
         bins.push(Bin {
             machine: Some(id.clone()),
-            part: record.part,
+            part: Some(record.part),
             kind: Kind {
                 flavor: record.flavor.clone(),
                 zone: record.zone.clone(),
@@ -266,6 +319,11 @@
         });
     }
 
+    for (id, (kind, _)) in &memory.booting {
+        if let Some(flavor) = config.flavors.get(&kind.flavor) {
+            bins.push(Bin::fresh(Some(id.clone()), kind.clone(), flavor));
+        }
+    }
     // What is being emptied is filled last, and kept if it is needed.
     bins.sort_by_key(|b| {
         b.machine
@@ -279,16 +337,16 @@
         .collect();
     demands.sort_by_key(|(_, d)| std::cmp::Reverse(d.rank));
 
-    let mut hires: BTreeMap<Kind, Vec<PartId>> = BTreeMap::new();
+    let mut hires: BTreeMap<Kind, u32> = BTreeMap::new();
     for (part, demand) in demands {
         let need = need(demand);
         let mut left = demand.count;
         // Room of the part itself, on machines up or on the way.
-        left = fill(&mut bins, left, demand, &need, |b| b.part == part);
+        left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         // Idle machines of other parts are moved.
         while left > 0 {
             let idle = bins.iter().position(|b| {
-                b.part != part
+                b.part.is_some_and(|p| p != part)
                     && b.taken == 0
                     && b.machine.as_ref().is_some_and(|m| {
                         !memory.moved.contains_key(m)
@@ -299,19 +357,19 @@
             });
             let Some(at) = idle else { break };
             let bin = &mut bins[at];
-            if let Some(machine) = bin.machine.clone() {
+            if let (Some(machine), Some(from)) = (bin.machine.clone(), bin.part) {
                 memory.moved.insert(machine.clone(), now);
-                actions.push(Action::Move(machine, bin.part, part));
+                actions.push(Action::Move(machine, from, part));
             }
-            bin.part = part;
-            left = fill(&mut bins, left, demand, &need, |b| b.part == part);
+            bin.part = Some(part);
+            left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         }
         // Room left on machines that others use is used by lending them tasks.
         if demand.free && left > 0 {
             for other in seen.parts.keys().filter(|p| **p != part) {
                 let before = left;
                 left = fill(&mut bins, left, demand, &need, |b| {
-                    b.part == *other && up(b, &digests)
+                    b.part == Some(*other) && up(b, &digests)
                 });
                 if left < before {
                     let lent = Demand {
@@ -323,11 +381,11 @@
             }
         }
         // What lower ranks hold yields, here or in another part.
-        left = press(&mut bins, left, demand, &need, |b| b.part == part);
+        left = press(&mut bins, left, demand, &need, |b| b.is_of(part));
         if demand.free && left > 0 {
             for other in seen.parts.keys().filter(|p| **p != part) {
                 let before = left;
-                left = press(&mut bins, left, demand, &need, |b| b.part == *other);
+                left = press(&mut bins, left, demand, &need, |b| b.part == Some(*other));
                 if left < before {
                     let lent = Demand {
                         count: before - left,
@@ -344,23 +402,13 @@
             let Some((kind, flavor)) = cheapest(config, memory, demand, &need, now, &hires) else {
                 break;
             };
-            let whole = Room::of_flavor(flavor);
-            hires.entry(kind.clone()).or_default().push(part);
-            bins.push(Bin {
-                machine: None,
-                part,
-                kind,
-                free: whole,
-                whole,
-                taken: 0,
-                held: Vec::new(),
-                pinned: 0.0,
-            });
-            left = fill(&mut bins, left, demand, &need, |b| b.part == part);
+            bins.push(Bin::fresh(None, kind.clone(), flavor));
+            *hires.entry(kind).or_insert(0) += 1;
+            left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         }
     }
-    for (kind, parts) in hires {
-        actions.push(Action::Hire(kind, parts));
+    for (kind, count) in hires {
+        actions.push(Action::Hire(kind, count));
     }
     actions.extend(drain(config, memory, &bins));
     actions.extend(retire(config, memory, &bins, &digests));
@@ -432,7 +480,7 @@
     demand: &Demand,
     need: &Room,
     now: Moment,
-    hires: &BTreeMap<Kind, Vec<PartId>>,
+    hires: &BTreeMap<Kind, u32>,
 ) -> Option<(Kind, &'a Flavor)> {
     let mut best: Option<(f64, Kind, &Flavor)> = None;
     for flavor in config.flavors.values() {
@@ -457,11 +505,11 @@
                     flavor.price.0
                 };
                 // Equal prices: the zone with fewer rentals of this round.
-                let planned = hires.get(&kind).map_or(0, Vec::len);
+                let planned = hires.get(&kind).copied().unwrap_or(0);
                 if planned >= MAX_HIRE {
                     continue;
                 }
-                let cost = price / f64::from(tasks) * (1.0 + 0.001 * planned as f64);
+                let cost = price / f64::from(tasks) * (1.0 + 0.001 * f64::from(planned));
                 if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
                     best = Some((cost, kind, flavor));
                 }
@@ -499,13 +547,10 @@
     let mut by_part: BTreeMap<PartId, Vec<MachineId>> = BTreeMap::new();
     let mut now_draining = BTreeSet::new();
     for bin in ordinary.into_iter().skip(needed) {
-        if let Some(machine) = bin
-            .machine
-            .clone()
-            .filter(|_| bin.pinned < 1e-9 && bin.taken == 0)
-        {
+        let empty = bin.pinned < 1e-9 && bin.taken == 0;
+        if let (true, Some(machine), Some(part)) = (empty, bin.machine.clone(), bin.part) {
             now_draining.insert(machine.clone());
-            by_part.entry(bin.part).or_default().push(machine);
+            by_part.entry(part).or_default().push(machine);
         }
     }
     memory.draining = now_draining;
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -307,6 +307,8 @@
 /// A task was first seen running.
 #[derive(Debug, Clone)]
 pub struct Started {
+    /// The task.
+    pub task: TaskId,
     /// Its job's class.
     pub class: String,
     /// From when its job was first seen here to its launch.
@@ -720,6 +722,7 @@
             slot.running_since = Some(now);
             if let Some(job) = self.jobs.get(&slot.task.job) {
                 self.started.push(Started {
+                    task: slot.task.clone(),
                     class: job.spec.class.clone(),
                     waited: slot.since.since(job.seen),
                     fetched: now.since(slot.since),
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -20,7 +20,7 @@
 const STACK: usize = 256 * 1024;
 /// Share of the published rates that all controllers use together: lates and
 /// bunched packets need the rest.
-const RATE_SHARE: f64 = 0.9;
+const RATE_SHARE: f64 = 0.95;
 /// Share of the cloud's rate for reading machine types.
 const CLOUD_TYPES_SHARE: f64 = 0.1;
 
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -24,18 +24,12 @@
 /// Machine types and prices are read again this often.
 const FLAVORS_EVERY: Duration = Duration::from_secs(120);
 
-/// A rental request without a definite answer yet.
-struct Pending {
-    hire: Hire,
-    /// The part each machine is for.
-    parts: Vec<PartId>,
-}
-
 struct Office {
     term: Term,
     stamp: Stamp,
     hires: u64,
-    pending: Vec<Pending>,
+    /// Rental requests without a definite answer yet.
+    pending: Vec<Hire>,
     memory: Memory,
     list: Vec<Rental>,
     listed_at: Option<Moment>,
@@ -334,16 +328,16 @@
                 release(shared, office, batch, why);
             }
         }
-        Action::Hire(kind, parts) => {
+        Action::Hire(kind, count) => {
             office.hires += 1;
             let hire = Hire {
                 hire: format!("h-{}-{}", office.term, office.hires),
                 rig: kind.flavor,
                 yard: kind.zone,
                 loaner: kind.spot,
-                how_many: parts.len() as u32,
+                how_many: count,
             };
-            hire_now(shared, office, Pending { hire, parts }, now);
+            hire_now(shared, office, hire, now);
         }
     }
 }
@@ -351,35 +345,33 @@
 /// Requests whose outcome is unknown are repeated under the same name.
 fn settle_pending(shared: &Arc<Shared>, office: &mut Office) {
     let now = shared.clock.now();
-    for pending in std::mem::take(&mut office.pending) {
-        hire_now(shared, office, pending, now);
+    for hire in std::mem::take(&mut office.pending) {
+        hire_now(shared, office, hire, now);
     }
 }
 
-fn hire_now(shared: &Arc<Shared>, office: &mut Office, pending: Pending, now: Moment) {
-    let hire = &pending.hire;
+fn hire_now(shared: &Arc<Shared>, office: &mut Office, hire: Hire, now: Moment) {
     let kind = Kind {
         flavor: hire.rig.clone(),
         zone: hire.yard.clone(),
         spot: hire.loaner,
     };
-    match shared.cloud.hire(hire) {
+    match shared.cloud.hire(&hire) {
         Ok(machines) => {
             log::info!(
-                "rented {} of {} {} in {} (spot: {}) for parts {:?}",
+                "rented {} of {} {} in {} (spot: {})",
                 machines.len(),
                 hire.how_many,
                 hire.rig,
                 hire.yard,
-                hire.loaner,
-                pending.parts
+                hire.loaner
             );
             if (machines.len() as u32) < hire.how_many {
                 office.memory.refused(&kind, now);
             } else {
                 office.memory.filled(&kind);
             }
-            record_machines(shared, office, &machines, &kind, &pending.parts);
+            office.memory.hired(&machines, &kind, now);
         }
         Err(CloudError::NoCapacity) => {
             log::info!("no capacity for {kind:?}");
@@ -387,57 +379,12 @@
         }
         Err(CloudError::Unknown(e)) => {
             log::debug!("rental {}: {e}", hire.hire);
-            office.pending.push(pending);
+            office.pending.push(hire);
         }
         Err(e) => log::debug!("rental {}: {e}", hire.hire),
     }
 }
 
-/// Records new machines in their part before they are up.
-fn record_machines(
-    shared: &Arc<Shared>,
-    office: &Office,
-    machines: &[MachineId],
-    kind: &Kind,
-    parts: &[PartId],
-) {
-    let record = |part: PartId| MachineRecord {
-        part,
-        term: Term(0),
-        flavor: kind.flavor.clone(),
-        zone: kind.zone.clone(),
-        spot: kind.spot,
-        endpoint: String::new(),
-        retiring: false,
-        images: Vec::new(),
-    };
-    let ops = shared.node.lock().config.batch_ops;
-    let all: Vec<(&MachineId, MachineRecord)> = machines
-        .iter()
-        .zip(parts)
-        .map(|(id, part)| (id, record(*part)))
-        .collect();
-    for batch in all.chunks(ops) {
-        let mut commit = Commit::default().when(ROLE, office.stamp);
-        for (id, record) in batch {
-            commit = commit
-                .when(machine_key(id), Stamp(0))
-                .write(machine_key(id), record);
-        }
-        match shared.state.commit(Class::Owner, &commit) {
-            Ok(Outcome::Applied(stamp)) => {
-                let now = shared.clock.now();
-                let mut node = shared.node.lock();
-                for (id, record) in batch {
-                    node.put_machine(id, record.clone(), stamp, now);
-                }
-            }
-            // Their workers' reports will bring them up.
-            other => log::debug!("recording machines: {other:?}"),
-        }
-    }
-}
-
 /// Releases machines; only the cloud's answer proves them gone, and only then
 /// are their records deleted, which sets their tasks free.
 fn release(shared: &Arc<Shared>, office: &mut Office, machines: &[MachineId], why: &str) {
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -545,6 +545,11 @@
     fn add(&mut self, started: Vec<Started>) {
         const HIGHEST_MS: u64 = 86_400_000;
         for s in started {
+            log::debug!(
+                "{} runs, {:.1} s after its launch",
+                s.task,
+                s.fetched.as_secs_f64()
+            );
             let new = || Histogram::new_with_max(HIGHEST_MS, 2).ok();
             if !self.classes.contains_key(&s.class)
                 && let (Some(a), Some(b)) = (new(), new())
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -171,7 +171,11 @@
         Ok(Outcome::Applied(stamp)) => {
             let now: Moment = shared.clock.now();
             shared.node.lock().put_job(&record, stamp, now);
-            log::debug!("accepted {id}");
+            log::debug!(
+                "accepted {id}: {} tasks of {}",
+                record.spec.tasks,
+                record.spec.team
+            );
             Response::cbor(
                 201,
                 &JobAnswer {
