Keep room for the next service job; return idle machines sooner

Cause: on delta a new service job waited for a boot whenever idle ordinary machines had been returned (up, worst 30 s). Room for the largest service job seen is kept, where lower ranks may use it; idle machines go after 25 s.

--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -43,6 +43,8 @@
     pub part_lease_s: f64,
     /// Room kept free, as a share of what is in use.
     pub cushion: f64,
+    /// Service jobs of the largest size seen that room is kept for.
+    pub reserve_jobs: f64,
     /// How long a machine may idle beyond its paid minimum.
     pub idle_s: f64,
     /// Seconds of delay that running spot work on an ordinary machine is worth.
@@ -59,7 +61,8 @@
             weights: BTreeMap::new(),
             part_lease_s: (workers.lease_s * 0.5).clamp(3.0, 10.0),
             cushion: 0.1,
-            idle_s: 60.0,
+            reserve_jobs: 1.0,
+            idle_s: 25.0,
             spot_bias_s: 30.0,
             sick_jobs: 2,
         }
--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -43,6 +43,7 @@
             part: self.part,
             rebuilding: self.rebuilding(),
             demand,
+            reserve: self.reserve(),
             machines: self.machine_digests(now, config),
             used,
             wanted,
@@ -50,6 +51,46 @@
         }
     }
 
+    /// The largest service job of each class, as room that the next one may
+    /// need: half of it in each zone if it is spread.
+    fn reserve(&self) -> Vec<Demand> {
+        let mut largest: BTreeMap<&str, &Job> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.spec.shape != Shape::Service {
+                continue;
+            }
+            let slot = largest.entry(&job.spec.class).or_insert(job);
+            if job.spec.tasks > slot.spec.tasks {
+                *slot = job;
+            }
+        }
+        let mut reserve = Vec::new();
+        for job in largest.into_values() {
+            let spec = &job.spec;
+            let item = |zones, count| Demand {
+                cpus: spec.cpus.0,
+                gpus: spec.gpus.0,
+                memory_gb: spec.memory_gb.0,
+                types: spec.types.clone(),
+                zones,
+                spot: spec.spot,
+                rank: spec.rank,
+                work_s: 0.0,
+                count,
+                free: true,
+            };
+            match &spec.zone {
+                Some(zone) => reserve.push(item(vec![zone.clone()], spec.tasks)),
+                None if spec.spread && spec.tasks > 1 => {
+                    let each = spec.zone_limit();
+                    reserve.extend(self.zones.iter().map(|z| item(vec![z.clone()], each)));
+                }
+                None => reserve.push(item(Vec::new(), spec.tasks)),
+            }
+        }
+        reserve
+    }
+
     fn add_demand(&self, demand: &mut Vec<Demand>, job: &Job) {
         let spec = &job.spec;
         let zones = self.zones_left(job);
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -407,6 +407,21 @@
             left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         }
     }
+    for demand in reserves(config, seen) {
+        let need = need(&demand);
+        let mut left = fill(&mut bins, demand.count, &demand, &need, |_| true);
+        left = press(&mut bins, left, &demand, &need, |_| true);
+        let mut guard = 0;
+        while left > 0 && guard < 50 {
+            guard += 1;
+            let Some((kind, flavor)) = cheapest(config, memory, &demand, &need, now, &hires) else {
+                break;
+            };
+            bins.push(Bin::fresh(None, kind.clone(), flavor));
+            *hires.entry(kind).or_insert(0) += 1;
+            left = fill(&mut bins, left, &demand, &need, |_| true);
+        }
+    }
     for (kind, count) in hires {
         actions.push(Action::Hire(kind, count));
     }
@@ -415,6 +430,26 @@
     actions
 }
 
+/// Room kept for the next service job: the largest seen in any part, by shape.
+fn reserves(config: &Config, seen: &Seen<'_>) -> Vec<Demand> {
+    let mut all: Vec<Demand> = Vec::new();
+    for item in seen.parts.values().flat_map(|p| &p.reserve) {
+        let same = all.iter_mut().find(|d| {
+            (d.cpus, d.gpus, d.memory_gb) == (item.cpus, item.gpus, item.memory_gb)
+                && (&d.types, &d.zones) == (&item.types, &item.zones)
+                && (d.spot, d.rank) == (item.spot, item.rank)
+        });
+        match same {
+            Some(d) => d.count = d.count.max(item.count),
+            None => all.push(item.clone()),
+        }
+    }
+    for d in &mut all {
+        d.count = (f64::from(d.count) * config.policy.reserve_jobs).ceil() as u32;
+    }
+    all
+}
+
 /// A machine that reports.
 fn up(bin: &Bin, digests: &BTreeMap<&MachineId, (&MachineDigest, PartId)>) -> bool {
     bin.machine
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -55,6 +55,7 @@
             weights: BTreeMap::new(),
             part_lease_s: 5.0,
             cushion: 0.1,
+            reserve_jobs: 1.0,
             idle_s: 60.0,
             spot_bias_s: 30.0,
             sick_jobs: 2,
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -58,6 +58,8 @@
     pub rebuilding: bool,
     /// Waiting tasks by shape.
     pub demand: Vec<Demand>,
+    /// Room that the next service job may need: the largest of each class.
+    pub reserve: Vec<Demand>,
     /// Its machines.
     pub machines: Vec<MachineDigest>,
     /// Slots in use by team, unknown ones counted.
