--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -14,6 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// A task stopped for a higher rank makes room in about this many seconds.
+const YIELD_S: f64 = 6.0;
 /// A plan is good for this long if nothing changes.
 const PLAN_AGE: Duration = Duration::from_millis(1000);
 
@@ -357,6 +359,11 @@
                     continue;
                 }
             }
+            // So may room that yields to a higher rank.
+            if delay > YIELD_S && self.warm_room_yields(sites, job, &zones, index) {
+                all = false;
+                continue;
+            }
             let Some(site) = sites.get_mut(at) else {
                 break;
             };
@@ -371,6 +378,41 @@
         all
     }
 
+    /// Whether a machine that has the image could make room for one more task
+    /// by stopping lower ranks.
+    fn warm_room_yields(
+        &self,
+        sites: &[Site],
+        job: &Job,
+        zones: &BTreeMap<String, u32>,
+        index: u32,
+    ) -> bool {
+        let spec = &job.spec;
+        let need = Room::of_task(spec);
+        sites.iter().any(|site| {
+            if site.delay(spec) > 0.0
+                || !site.allows(spec)
+                || job.failed_on.contains(&site.id)
+                || !zone_allows(job, zones, index, &site.zone)
+            {
+                return false;
+            }
+            let mut room = site.free;
+            room += site.coming;
+            let slots = self.machines.get(&site.id).map(|m| &m.slots);
+            for slot in slots.into_iter().flatten() {
+                if let Some(victim) = &slot.spec
+                    && slot.halt.is_none()
+                    && slot.holds_room()
+                    && victim.rank < spec.rank
+                {
+                    room += Room::of_task(victim);
+                }
+            }
+            room.fits(&need)
+        })
+    }
+
     /// Stops what must yield to a job that found no room, cheapest first.
     /// Room that is already coming free is counted before more is taken.
     fn preempt(
@@ -393,7 +435,16 @@
             .filter(|t| &t.job == id)
             .map(|t| t.index)
             .collect();
+        // What is planned counts by zone like what runs: without it a spread
+        // job's second task was once sent to the zone of its first.
         let mut zones = self.by_zone(job);
+        for site in sites.iter() {
+            let here = self.plan.get(&site.id).into_iter().flatten();
+            let n = here.filter(|t| &t.job == id).count() as u32;
+            if n > 0 {
+                *zones.entry(site.zone.clone()).or_insert(0) += n;
+            }
+        }
         let waiting: Vec<u32> = job
             .waiting
             .iter()
@@ -432,6 +483,17 @@
                 continue;
             };
             let site = &mut sites[at];
+            let whole = spec.shape != Shape::Gang;
+            if victims.is_empty() && whole && site.free.fits(&need) {
+                site.take(&spec);
+                *zones.entry(site.zone.clone()).or_insert(0) += 1;
+                add(used.entry(spec.team.clone()).or_default(), need.slots());
+                self.plan.entry(site.id.clone()).or_default().push(TaskId {
+                    job: id.clone(),
+                    index,
+                });
+                continue;
+            }
             if let Some(machine) = self.machines.get_mut(&site.id) {
                 for v in victims {
                     let slot = &mut machine.slots[v];
--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -86,6 +86,50 @@
     assert_eq!(launches(&b.turn(&report, 1.5)).len(), 1);
 }
 
+#[test]
+fn a_spread_job_stays_spread_when_some_of_it_is_preempted_for() {
+    // Both stages of a plan count what the other has planned: days broke
+    // wrong_place when a task found a machine with its image in one stage and
+    // its sibling one without in the other.
+    let mut b = Bench::new(&["a", "a", "b"]);
+    let mut filler = spec(1, 4);
+    filler.rank = Rank::Idle;
+    filler.zone = Some("b".into());
+    b.submit(filler, false);
+    let report = b.report(2, 1, vec![]);
+    let launched = launches(&b.turn(&report, 1.0));
+    assert_eq!(launched.len(), 4);
+    let busy: Vec<_> = launched
+        .iter()
+        .map(|(t, a)| state(t, *a, TaskState::Running))
+        .collect();
+    for m in 0..2 {
+        let report = b.report(m, 1, vec![]);
+        b.turn(&report, 1.5);
+    }
+    let warm = b.ledger.machines.get_mut(&machine(0)).unwrap();
+    warm.images.push_back(("other".into(), 5.0));
+    let mut service = spec(2, 2);
+    (service.shape, service.rank, service.spread) = (Shape::Service, Rank::Production, true);
+    service.image = "other".into();
+    b.submit(service, false);
+    let mut in_a = 0;
+    for seq in 2..5 {
+        let running = b.report(2, seq, busy.clone());
+        b.turn(&running, seq as f64);
+        for m in 0..2 {
+            let tasks = b.ledger.machines[&machine(m)]
+                .slots
+                .iter()
+                .map(|s| state(&s.task, s.attempt, TaskState::Running))
+                .collect();
+            let report = b.report(m, seq, tasks);
+            in_a += launches(&b.turn(&report, seq as f64)).len();
+        }
+    }
+    assert_eq!(in_a, 1);
+}
+
 #[test]
 fn only_lower_ranks_yield_unless_a_guarantee_is_owed() {
     // (victim's rank, newcomer's rank, another team with a guarantee, halts)
