Test failures against stand-ins; send no worker to an owner long dead

Cause of a hang they found: a controller cut off from the state service kept redirecting workers to an owner that had died; the worker's next node after a refused connection was the cut controller again, so the new owner never heard it. A view older than four seconds now sends no worker anywhere.

--- a/crates/pulleywood-standins/src/lib.rs
+++ b/crates/pulleywood-standins/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! Stand-ins for the state service, the cloud and the workers, written from
+//! the protocol, on loopback, with faults. For tests only.
+//!
+//! [`World`] watches the rules from outside: whatever the controllers do, it
+//! records what must never happen.
+
+pub mod cloud;
+pub mod state;
+pub mod worker;
+pub mod world;
+
+pub use cloud::Cloud;
+pub use state::{Fault, Front, StateService};
+pub use world::World;
+
+use std::net::SocketAddr;
+
+/// Any free port on loopback.
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// The value of one query parameter.
+fn query<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    text.split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/pulleywood-standins/src/state.rs
@@ -0,0 +1,359 @@
+//! The state service: keys, stamps, leases, transactions and watches.
+
+use crate::{loopback, query};
+use parking_lot::{Condvar, Mutex};
+use pulleywood_net::server::{Handler, Request, Response, serve};
+use pulleywood_wire::cbor::{self, Value};
+use pulleywood_wire::state::{Change, Commit, Event, Events, Granted, Item, Page, Revision, Ttl};
+use pulleywood_wire::{Permit, Stamp};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What is wrong between one controller and the state service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Requests are refused with 503 and not executed.
+    Refuse,
+    /// Requests are neither executed nor answered.
+    Cut,
+    /// Transactions are executed, but their answers are lost.
+    LoseAnswers,
+    /// Transactions are not answered, and executed this many milliseconds
+    /// later.
+    Late(u64),
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    value: Value,
+    stamp: Stamp,
+    permit: Option<Permit>,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    ledger: u64,
+    keys: BTreeMap<String, Entry>,
+    leases: BTreeMap<Permit, (Instant, Duration)>,
+    next_lease: u64,
+    log: Vec<Event>,
+}
+
+/// The service; controllers reach it through fronts of their own.
+#[derive(Debug, Clone, Default)]
+pub struct StateService {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    store: Mutex<Store>,
+    changed: Condvar,
+}
+
+/// One controller's way to the service.
+#[derive(Debug, Clone)]
+pub struct Front {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    fault: Arc<Mutex<Fault>>,
+}
+
+impl Front {
+    /// Sets what is wrong from now on.
+    pub fn set(&self, fault: Fault) {
+        *self.fault.lock() = fault;
+    }
+}
+
+struct FrontHandler {
+    shared: Arc<Shared>,
+    fault: Arc<Mutex<Fault>>,
+}
+
+impl StateService {
+    /// Opens another front.
+    pub fn front(&self) -> std::io::Result<Front> {
+        let fault = Arc::new(Mutex::new(Fault::None));
+        let handler = FrontHandler {
+            shared: Arc::clone(&self.shared),
+            fault: Arc::clone(&fault),
+        };
+        let addr = serve(loopback(), 64, handler)?;
+        Ok(Front { addr, fault })
+    }
+
+    /// Gives all leases their full time, as after an outage.
+    pub fn extend_leases(&self) {
+        let now = Instant::now();
+        for (end, ttl) in self.shared.store.lock().leases.values_mut() {
+            *end = now + *ttl;
+        }
+    }
+
+    /// All keys with a prefix, for checks.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let store = self.shared.store.lock();
+        store
+            .keys
+            .keys()
+            .filter(|k| k.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+}
+
+impl Store {
+    fn expire(&mut self, now: Instant) -> bool {
+        let ended: Vec<Permit> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(permit, _)| *permit)
+            .collect();
+        for permit in &ended {
+            self.end(*permit);
+        }
+        !ended.is_empty()
+    }
+
+    fn end(&mut self, permit: Permit) -> bool {
+        if self.leases.remove(&permit).is_none() {
+            return false;
+        }
+        let gone: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, e)| e.permit == Some(permit))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in gone {
+            self.ledger += 1;
+            self.remove(&key);
+        }
+        true
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            self.log.push(Event {
+                write: None,
+                delete: Some(key.to_owned()),
+                value: None,
+                stamp: Stamp(self.ledger),
+            });
+        }
+    }
+
+    fn commit(&mut self, commit: &Commit) -> Response {
+        #[derive(Serialize)]
+        struct Failed {
+            failed: Vec<String>,
+            ledger: u64,
+        }
+        let known = |permit: &Option<Permit>| permit.is_none_or(|p| self.leases.contains_key(&p));
+        let leases_live = commit.changes.iter().all(|c| match c {
+            Change::Write { permit, .. } => known(permit),
+            Change::Delete { .. } => true,
+        });
+        if !leases_live {
+            return Response::cbor(400, &BTreeMap::from([("error", "no such lease")]));
+        }
+        let stamp = |key: &str| self.keys.get(key).map_or(Stamp(0), |e| e.stamp);
+        let failed: Vec<String> = commit
+            .conditions
+            .iter()
+            .filter(|c| stamp(&c.path) != c.stamp)
+            .map(|c| c.path.clone())
+            .collect();
+        if !failed.is_empty() {
+            let ledger = self.ledger;
+            return Response::cbor(409, &Failed { failed, ledger });
+        }
+        if !commit.changes.is_empty() {
+            self.ledger += 1;
+        }
+        for change in &commit.changes {
+            match change {
+                Change::Write {
+                    write,
+                    value,
+                    permit,
+                } => {
+                    let entry = Entry {
+                        value: value.clone(),
+                        stamp: Stamp(self.ledger),
+                        permit: *permit,
+                    };
+                    self.keys.insert(write.clone(), entry);
+                    self.log.push(Event {
+                        write: Some(write.clone()),
+                        delete: None,
+                        value: Some(value.clone()),
+                        stamp: Stamp(self.ledger),
+                    });
+                }
+                Change::Delete { delete } => self.remove(delete),
+            }
+        }
+        let ledger = self.ledger;
+        Response::cbor(200, &Revision { ledger })
+    }
+
+    fn item(&self, key: &str) -> Option<Item> {
+        let entry = self.keys.get(key)?;
+        Some(Item {
+            path: key.to_owned(),
+            value: entry.value.clone(),
+            stamp: entry.stamp,
+            permit: entry.permit,
+        })
+    }
+}
+
+impl FrontHandler {
+    fn execute(&self, request: &Request<'_>) -> Response {
+        let mut store = self.shared.store.lock();
+        if store.expire(Instant::now()) {
+            self.shared.changed.notify_all();
+        }
+        let response = match (request.method, request.path) {
+            ("GET", "/store") => list(&store, request.query),
+            ("GET", path) if path.starts_with("/store/") => {
+                match store.item(&path["/store/".len()..]) {
+                    Some(item) => Response::cbor(200, &item),
+                    None => {
+                        let ledger = store.ledger;
+                        Response::cbor(404, &Revision { ledger })
+                    }
+                }
+            }
+            ("POST", "/commit") => match cbor::decode::<Commit>(request.body) {
+                Ok(commit) => store.commit(&commit),
+                Err(_) => Response::status(400),
+            },
+            ("POST", "/grants") => match cbor::decode::<Ttl>(request.body) {
+                Ok(ttl) => {
+                    let ttl = Duration::from_millis(ttl.ttl_ms);
+                    store.next_lease += 1;
+                    let permit = Permit(store.next_lease);
+                    store.leases.insert(permit, (Instant::now() + ttl, ttl));
+                    Response::cbor(200, &Granted { permit })
+                }
+                Err(_) => Response::status(400),
+            },
+            (method, path) => lease(&mut store, method, path),
+        };
+        drop(store);
+        self.shared.changed.notify_all();
+        response
+    }
+
+    fn follow(&self, request: &Request<'_>) -> Response {
+        let number = |name| query(request.query, name).and_then(|v| v.parse::<u64>().ok());
+        let from = number("from").unwrap_or(0);
+        let end = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let starts = query(request.query, "starts").unwrap_or("");
+        let mut store = self.shared.store.lock();
+        loop {
+            store.expire(Instant::now());
+            let events: Vec<Event> = store
+                .log
+                .iter()
+                .filter(|e| e.stamp.0 > from)
+                .filter(|e| {
+                    let key = e.write.as_ref().or(e.delete.as_ref());
+                    key.is_some_and(|k| k.starts_with(starts))
+                })
+                .cloned()
+                .collect();
+            let now = Instant::now();
+            if !events.is_empty() || now >= end {
+                let ledger = store.ledger;
+                return Response::cbor(200, &Events { ledger, events });
+            }
+            let wait = (end - now).min(Duration::from_millis(50));
+            self.shared.changed.wait_for(&mut store, wait);
+        }
+    }
+}
+
+fn list(store: &Store, text: &str) -> Response {
+    let starts = query(text, "starts").unwrap_or("");
+    let from = query(text, "from").unwrap_or("");
+    let items: Vec<Item> = store
+        .keys
+        .keys()
+        .filter(|k| k.starts_with(starts) && k.as_str() > from)
+        .filter_map(|k| store.item(k))
+        .collect();
+    let (more, ledger) = (false, store.ledger);
+    Response::cbor(
+        200,
+        &Page {
+            items,
+            more,
+            ledger,
+        },
+    )
+}
+
+fn lease(store: &mut Store, method: &str, path: &str) -> Response {
+    let rest = path.strip_prefix("/grants/").unwrap_or("");
+    let (id, verb) = rest.split_once('/').unwrap_or((rest, ""));
+    let Ok(id) = id.parse().map(Permit) else {
+        return Response::status(404);
+    };
+    match (method, verb) {
+        ("POST", "renew") => match store.leases.get_mut(&id) {
+            Some((end, ttl)) => {
+                *end = Instant::now() + *ttl;
+                Response::cbor(200, &BTreeMap::<String, u64>::new())
+            }
+            None => Response::status(404),
+        },
+        ("DELETE", "") => match store.end(id) {
+            true => Response::cbor(200, &BTreeMap::<String, u64>::new()),
+            false => Response::status(404),
+        },
+        _ => Response::status(404),
+    }
+}
+
+/// Longer than any controller waits for an answer.
+const NO_ANSWER: Duration = Duration::from_secs(6);
+
+impl Handler for FrontHandler {
+    fn handle(&self, request: &Request<'_>) -> Response {
+        let fault = *self.fault.lock();
+        let commit = request.path == "/commit";
+        match fault {
+            Fault::Refuse => return Response::status(503),
+            Fault::Cut => {
+                std::thread::sleep(NO_ANSWER);
+                return Response::status(503);
+            }
+            Fault::LoseAnswers if commit => {
+                self.execute(request);
+                std::thread::sleep(NO_ANSWER);
+                return Response::status(503);
+            }
+            Fault::Late(ms) if commit => {
+                std::thread::sleep(Duration::from_millis(ms));
+                self.execute(request);
+                std::thread::sleep(NO_ANSWER);
+                return Response::status(503);
+            }
+            _ => {}
+        }
+        if request.path == "/follow" {
+            return self.follow(request);
+        }
+        self.execute(request)
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-standins/src/worker.rs
@@ -0,0 +1,288 @@
+//! A worker: reports, executes orders, lets its lease lapse.
+
+use crate::loopback;
+use crate::world::World;
+use parking_lot::Mutex;
+use pulleywood_net::Client;
+use pulleywood_net::server::{Handler, Request, Response, serve};
+use pulleywood_wire::cbor;
+use pulleywood_wire::worker::{
+    Cause, Direct, Order, Redirect, Report, ReportAnswer, TaskReport, TaskState,
+};
+use pulleywood_wire::{Attempt, MachineId, MemberId, TaskId, Term};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// What a worker is told of its place.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Its machine's name.
+    pub machine: MachineId,
+    /// Its type.
+    pub flavor: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Between reports.
+    pub report: Duration,
+    /// Its lease.
+    pub lease: Duration,
+    /// All controllers.
+    pub controllers: Arc<Mutex<Vec<(MemberId, SocketAddr)>>>,
+}
+
+#[derive(Debug)]
+struct Task {
+    task: TaskId,
+    attempt: Attempt,
+    ends: Option<Instant>,
+    exit: Option<Cause>,
+}
+
+#[derive(Debug)]
+struct State {
+    session: u64,
+    seq: u64,
+    term: Term,
+    tasks: Vec<Task>,
+    renewed: Instant,
+}
+
+/// A running worker.
+#[derive(Debug)]
+pub struct Worker {
+    place: Place,
+    world: Arc<World>,
+    state: Mutex<State>,
+    cut: AtomicBool,
+    gone: AtomicBool,
+}
+
+struct Direction {
+    worker: Arc<Worker>,
+    addr: Arc<Mutex<Option<SocketAddr>>>,
+}
+
+impl Worker {
+    /// Starts one.
+    pub fn start(place: Place, world: Arc<World>) -> std::io::Result<Arc<Worker>> {
+        let worker = Arc::new(Worker {
+            place,
+            world,
+            state: Mutex::new(State {
+                session: 1,
+                seq: 0,
+                term: Term(0),
+                tasks: Vec::new(),
+                renewed: Instant::now(),
+            }),
+            cut: AtomicBool::new(false),
+            gone: AtomicBool::new(false),
+        });
+        let known = Arc::new(Mutex::new(None));
+        let direction = Direction {
+            worker: Arc::clone(&worker),
+            addr: Arc::clone(&known),
+        };
+        let addr = serve(loopback(), 16, direction)?;
+        *known.lock() = Some(addr);
+        let own = Arc::clone(&worker);
+        std::thread::spawn(move || own.run(addr));
+        Ok(worker)
+    }
+
+    /// Cuts it off from the controllers, or ends that.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+
+    /// The cloud takes the machine: everything on it is gone.
+    pub fn take(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+        let mut state = self.state.lock();
+        self.kill(&mut state);
+    }
+
+    fn kill(&self, state: &mut State) {
+        for task in state.tasks.drain(..) {
+            self.world.end(&task.task, &self.place.machine, false);
+        }
+    }
+
+    fn run(&self, addr: SocketAddr) {
+        let mut at = 0;
+        while !self.gone.load(Ordering::Relaxed) {
+            std::thread::sleep(self.place.report);
+            self.pass_time();
+            if self.cut.load(Ordering::Relaxed) {
+                continue;
+            }
+            let controllers = self.place.controllers.lock().clone();
+            let Some((_, to)) = controllers.get(at % controllers.len().max(1)) else {
+                continue;
+            };
+            let sent = Instant::now();
+            let report = self.report(addr);
+            let session = report.session;
+            let client = Client::new(*to, 0);
+            let body = cbor::encode(&report);
+            match client.call("POST", "/v1/report", Some(&body), Duration::from_secs(4)) {
+                Ok(a) if a.status == 200 => {
+                    if let Ok(answer) = cbor::decode::<ReportAnswer>(&a.body) {
+                        self.take_answer(&answer, session, sent);
+                    }
+                }
+                Ok(a) if a.status == 421 => {
+                    let foreman = cbor::decode::<Redirect>(&a.body)
+                        .ok()
+                        .and_then(|r| r.foreman)
+                        .and_then(|f| controllers.iter().position(|(m, _)| *m == f));
+                    at = foreman.unwrap_or(at + 1);
+                }
+                _ => at += 1,
+            }
+        }
+    }
+
+    fn pass_time(&self) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        if now.duration_since(state.renewed) > self.place.lease {
+            self.kill(&mut state);
+            state.session += 1;
+            state.renewed = now;
+        }
+        for task in &mut state.tasks {
+            if task.exit.is_none() && task.ends.is_some_and(|end| now >= end) {
+                task.exit = Some(Cause::Done);
+                self.world.end(&task.task, &self.place.machine, true);
+            }
+        }
+    }
+
+    fn report(&self, addr: SocketAddr) -> Report {
+        let mut state = self.state.lock();
+        state.seq += 1;
+        let tasks = state.tasks.iter().map(|t| TaskReport {
+            task: t.task.clone(),
+            attempt: t.attempt,
+            state: match t.exit {
+                Some(_) => TaskState::Exited,
+                None => TaskState::Running,
+            },
+            cause: t.exit,
+            stored: None,
+        });
+        Report {
+            machine: self.place.machine.clone(),
+            endpoint: addr.to_string(),
+            flavor: self.place.flavor.clone(),
+            zone: self.place.zone.clone(),
+            spot: self.place.spot,
+            session: state.session,
+            seq: state.seq,
+            term: state.term,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn take_answer(&self, answer: &ReportAnswer, session: u64, sent: Instant) {
+        let mut state = self.state.lock();
+        let late = sent.elapsed() > Duration::from_secs(4);
+        if late || answer.term < state.term || session != state.session {
+            return;
+        }
+        if self.gone.load(Ordering::Relaxed) {
+            return;
+        }
+        state.term = answer.term;
+        state.renewed = sent;
+        self.execute(&mut state, &answer.orders);
+    }
+
+    fn execute(&self, state: &mut State, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Launch { leg, attempt } => self.launch(state, leg, *attempt),
+                Order::Halt { leg, attempt, .. } => {
+                    for task in &mut state.tasks {
+                        let same = task.task == *leg && task.attempt == *attempt;
+                        if same && task.exit.is_none() {
+                            task.exit = Some(Cause::Stopped);
+                            self.world.end(leg, &self.place.machine, false);
+                        }
+                    }
+                }
+                Order::Clear { leg, attempt } => state
+                    .tasks
+                    .retain(|t| t.task != *leg || t.attempt != *attempt || t.exit.is_none()),
+            }
+        }
+    }
+
+    fn launch(&self, state: &mut State, leg: &TaskId, attempt: Attempt) {
+        if state
+            .tasks
+            .iter()
+            .any(|t| t.task == *leg && t.attempt == attempt)
+        {
+            return;
+        }
+        let busy = state
+            .tasks
+            .iter()
+            .any(|t| t.task == *leg && t.exit.is_none());
+        let mut task = Task {
+            task: leg.clone(),
+            attempt,
+            ends: None,
+            exit: None,
+        };
+        match self.world.run_time(leg) {
+            _ if busy => task.exit = Some(Cause::Busy),
+            None => task.exit = Some(Cause::NoSuch),
+            Some(run) => {
+                task.ends = Instant::now().checked_add(run);
+                self.world.start(leg, &self.place.machine);
+            }
+        }
+        state.tasks.push(task);
+    }
+}
+
+impl Handler for Direction {
+    fn handle(&self, request: &Request<'_>) -> Response {
+        let worker = &self.worker;
+        // A cut worker is silent; here it answers with what no caller takes.
+        let addr = *self.addr.lock();
+        let (Some(addr), false) = (addr, worker.cut.load(Ordering::Relaxed)) else {
+            return Response::status(503);
+        };
+        if worker.gone.load(Ordering::Relaxed) {
+            return Response::status(503);
+        }
+        worker.pass_time();
+        match (request.method, request.path) {
+            ("GET", "/show") => Response::cbor(200, &worker.report(addr)),
+            ("POST", "/do") => {
+                let Ok(direct) = cbor::decode::<Direct>(request.body) else {
+                    return Response::status(400);
+                };
+                let mut state = worker.state.lock();
+                let taken = direct.term >= state.term && direct.session == state.session;
+                if taken {
+                    state.term = direct.term;
+                    worker.execute(&mut state, &direct.orders);
+                }
+                drop(state);
+                let status = if taken { 200 } else { 409 };
+                Response::cbor(status, &worker.report(addr))
+            }
+            _ => Response::status(404),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-standins/src/world.rs
@@ -0,0 +1,140 @@
+//! What is true outside the controllers: jobs as their users see them, tasks
+//! as they run, and the rules.
+
+use parking_lot::Mutex;
+use pulleywood_wire::{JobId, JobSpec, MachineId, Shape, TaskId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// A job in the world.
+#[derive(Debug, Clone)]
+struct Known {
+    spec: JobSpec,
+    run: Duration,
+    done: BTreeSet<u32>,
+    cancelled: bool,
+}
+
+/// Watches from outside.
+#[derive(Debug, Default)]
+pub struct World {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    jobs: BTreeMap<JobId, Known>,
+    on: BTreeMap<TaskId, MachineId>,
+    starts: BTreeMap<TaskId, u32>,
+    limits: BTreeMap<String, f64>,
+    broken: Vec<String>,
+}
+
+impl World {
+    /// A job that its user is about to submit; its tasks run for `run`.
+    pub fn add_job(&self, spec: JobSpec, run: Duration) {
+        let known = Known {
+            run,
+            done: BTreeSet::new(),
+            cancelled: false,
+            spec,
+        };
+        let id = known.spec.id.clone();
+        self.state.lock().jobs.insert(id, known);
+    }
+
+    /// Most GPUs that a team may use.
+    pub fn limit(&self, team: &str, gpus: f64) {
+        self.state.lock().limits.insert(team.to_owned(), gpus);
+    }
+
+    /// The user heard that the job is cancelled and its tasks were gone since:
+    /// none may start any more.
+    pub fn gone_for_good(&self, id: &JobId) {
+        if let Some(job) = self.state.lock().jobs.get_mut(id) {
+            job.cancelled = true;
+        }
+    }
+
+    /// How long a task runs; nothing if there is no such task. A replica runs
+    /// for ever.
+    pub fn run_time(&self, task: &TaskId) -> Option<Duration> {
+        let state = self.state.lock();
+        let job = state.jobs.get(&task.job)?;
+        (task.index < job.spec.tasks).then_some(match job.spec.shape {
+            Shape::Service => Duration::MAX,
+            _ if job.done.contains(&task.index) => Duration::ZERO,
+            _ => job.run,
+        })
+    }
+
+    /// A task starts on a machine.
+    pub fn start(&self, task: &TaskId, machine: &MachineId) {
+        let mut state = self.state.lock();
+        if let Some(other) = state.on.get(task) {
+            let text = format!("ran_twice: {task} runs on {other}, starts on {machine}");
+            state.broken.push(text);
+        }
+        if state.jobs.get(&task.job).is_some_and(|j| j.cancelled) {
+            state.broken.push(format!("ran_cancelled: {task}"));
+        }
+        state.on.insert(task.clone(), machine.clone());
+        *state.starts.entry(task.clone()).or_default() += 1;
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        for task in state.on.keys() {
+            if let Some(job) = state.jobs.get(&task.job) {
+                *used.entry(job.spec.team.clone()).or_default() += job.spec.gpus.0;
+            }
+        }
+        for (team, gpus) in used {
+            if state.limits.get(&team).is_some_and(|most| gpus > *most) {
+                state.broken.push(format!("quota: {team} uses {gpus} GPUs"));
+            }
+        }
+    }
+
+    /// A task is no longer on a machine.
+    pub fn end(&self, task: &TaskId, machine: &MachineId, done: bool) {
+        let mut state = self.state.lock();
+        if state.on.get(task) == Some(machine) {
+            state.on.remove(task);
+        }
+        if done && let Some(job) = state.jobs.get_mut(&task.job) {
+            job.done.insert(task.index);
+        }
+    }
+
+    /// Whether all tasks of a job have completed.
+    pub fn is_done(&self, id: &JobId) -> bool {
+        let state = self.state.lock();
+        state
+            .jobs
+            .get(id)
+            .is_some_and(|j| j.done.len() as u32 == j.spec.tasks)
+    }
+
+    /// Tasks of a job that are on machines.
+    pub fn running(&self, id: &JobId) -> usize {
+        let state = self.state.lock();
+        state.on.keys().filter(|t| &t.job == id).count()
+    }
+
+    /// Machines that run tasks of a job.
+    pub fn machines_of(&self, id: &JobId) -> BTreeSet<MachineId> {
+        let state = self.state.lock();
+        let on = state.on.iter().filter(|(t, _)| &t.job == id);
+        on.map(|(_, m)| m.clone()).collect()
+    }
+
+    /// Starts of a job's tasks, repeated ones counted.
+    pub fn starts(&self, id: &JobId) -> u32 {
+        let state = self.state.lock();
+        let starts = state.starts.iter().filter(|(t, _)| &t.job == id);
+        starts.map(|(_, n)| n).sum()
+    }
+
+    /// The rules broken so far.
+    pub fn broken(&self) -> Vec<String> {
+        self.state.lock().broken.clone()
+    }
+}
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -10,6 +10,10 @@
 use pulleywood_wire::worker::{Redirect, Report, ReportAnswer};
 use pulleywood_wire::{MemberId, PartId, Stamp, Term, cbor};
 use std::sync::Arc;
+use std::time::Duration;
+
+/// A view older than this tells no worker where to go.
+const FRESH_VIEW: Duration = Duration::from_secs(4);
 
 /// Where a report belongs.
 enum Route {
@@ -61,6 +65,13 @@
     if !node.viewed {
         return Route::Nobody;
     }
+    // A controller that is cut off knows old owners only. Sending workers to
+    // one that died kept them going back and forth between the two, and the
+    // new owner never heard them.
+    let there = |member: &MemberId| match now.since(node.caught_up) < FRESH_VIEW {
+        true => Route::There(member.clone()),
+        false => Route::Nobody,
+    };
     let held = |p: &PartId| node.owned.get(p).filter(|o| o.loaded && !o.leaving);
     match node.view.machines.get(&report.machine) {
         Some((record, stamp)) => {
@@ -73,9 +84,7 @@
                 return Route::Here(part);
             }
             match node.view.parts.get(&part) {
-                Some((holder, _)) if holder.member != shared.me => {
-                    Route::There(holder.member.clone())
-                }
+                Some((holder, _)) if holder.member != shared.me => there(&holder.member),
                 _ => Route::Nobody,
             }
         }
@@ -98,7 +107,7 @@
                 .values()
                 .find(|(h, _)| h.member != shared.me);
             match other {
-                Some((holder, _)) => Route::There(holder.member.clone()),
+                Some((holder, _)) => there(&holder.member),
                 None => Route::Nobody,
             }
         }
--- /dev/null
+++ b/crates/pulleywood/tests/failures.rs
@@ -0,0 +1,494 @@
+//! Three real controllers against the stand-ins, under failures.
+//!
+//! Nothing here depends on how fast the machine is: each step waits until it
+//! is true, up to a bound that only a hang reaches.
+
+use pulleywood_net::Client;
+use pulleywood_standins::cloud::Controllers;
+use pulleywood_standins::{Cloud, Fault, Front, StateService, World};
+use pulleywood_wire::cbor::{self, Amount};
+use pulleywood_wire::cloud::Flavor;
+use pulleywood_wire::job::{JobAnswer, JobStatus};
+use pulleywood_wire::settings::{
+    CloudLimits, Cluster, Resources, Seed, Services, Settings, StateLimits, Team, Workers,
+};
+use pulleywood_wire::{JobId, JobSpec, MemberId, Rank, Shape};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+const BOUND: Duration = Duration::from_secs(90);
+const CONTROLLERS: usize = 3;
+
+fn wait(what: &str, mut until: impl FnMut() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !until() {
+        assert!(Instant::now() < end, "never came: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A free port below those that outgoing connections are given, so that none
+/// of them takes it before its controller does.
+fn free_port() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = std::process::id() * 100 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + (n % 18_000) as u16;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+struct Stage {
+    world: Arc<World>,
+    state: StateService,
+    cloud: Cloud,
+    fronts: Vec<Front>,
+    serve_on: Vec<SocketAddr>,
+    files: Vec<std::path::PathBuf>,
+    running: Vec<Option<Child>>,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        for n in 0..CONTROLLERS {
+            self.kill(n);
+        }
+        for file in &self.files {
+            let _ = std::fs::remove_file(file);
+        }
+    }
+}
+
+impl Stage {
+    /// Three controllers, a team limited to `limit` GPUs (0: none), and room
+    /// for four machines of two GPUs each.
+    fn new(limit: f64) -> Stage {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let world = Arc::new(World::default());
+        if limit > 0.0 {
+            world.limit("red", limit);
+        }
+        let state = StateService::default();
+        let controllers: Controllers = Controllers::default();
+        let flavor = Flavor {
+            label: "g2".into(),
+            cpus: Amount(8.0),
+            gpus: Amount(2.0),
+            memory_gb: Amount(32.0),
+            cache_gb: Amount(50.0),
+            fetch_gb_per_s: Amount(1.0),
+            price: Amount(4.0),
+            spot_price: Amount(1.0),
+            boot_s: Amount(1.0),
+            zones: vec!["a".into()],
+        };
+        let (report, lease) = (Duration::from_millis(200), Duration::from_secs(2));
+        let cloud = Cloud::start(flavor, 4, report, lease, controllers.clone(), world.clone());
+        let cloud = cloud.unwrap();
+        let serve_on: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_port()).collect();
+        let peers: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_port()).collect();
+        let name = |n: usize| format!("c-{n}");
+        *controllers.lock() = serve_on
+            .iter()
+            .enumerate()
+            .map(|(n, a)| (MemberId::from(name(n).as_str()), *a))
+            .collect();
+        let mut stage = Stage {
+            world,
+            state,
+            cloud,
+            fronts: Vec::new(),
+            serve_on,
+            files: Vec::new(),
+            running: Vec::new(),
+        };
+        for n in 0..CONTROLLERS {
+            let front = stage.state.front().unwrap();
+            let settings = Settings {
+                member: name(n),
+                domain: "a".into(),
+                serve_on: stage.serve_on[n].to_string(),
+                cluster_listen: peers[n].to_string(),
+                seeds: (0..CONTROLLERS)
+                    .filter(|m| *m != n)
+                    .map(|m| Seed {
+                        member: name(m),
+                        domain: "a".into(),
+                        endpoint: peers[m].to_string(),
+                    })
+                    .collect(),
+                services: Services {
+                    cloud: stage.cloud.addr.to_string(),
+                    state: front.addr.to_string(),
+                },
+                cluster: Cluster {
+                    initial_size: CONTROLLERS as u32,
+                    zones: vec!["a".into()],
+                    teams: vec![Team {
+                        name: "red".into(),
+                        cpus: 0.0,
+                        cpus_max: 0.0,
+                        gpus: 0.0,
+                        gpus_max: limit,
+                    }],
+                    objectives: vec![],
+                    workers: Workers {
+                        report_s: 0.2,
+                        lease_s: 2.0,
+                        cancel_s: 6.0,
+                    },
+                    state: StateLimits {
+                        rps: 600.0,
+                        write_rps: 200.0,
+                        value_kb: 8.0,
+                        txn_ops: 16,
+                    },
+                    cloud: CloudLimits {
+                        rps: 50.0,
+                        list_lag_s: 0.5,
+                    },
+                    resources: Resources {
+                        cores: 1.0,
+                        ram_mb: 200.0,
+                        max_sockets: 400,
+                    },
+                    clock_error_ms: 0.0,
+                },
+            };
+            let unique = NEXT.fetch_add(1, Ordering::Relaxed);
+            let file = std::env::temp_dir().join(format!(
+                "pulleywood-test-{}-{unique}.json",
+                std::process::id()
+            ));
+            std::fs::write(&file, serde_json::to_string(&settings).unwrap()).unwrap();
+            stage.fronts.push(front);
+            stage.files.push(file);
+            stage.running.push(None);
+            stage.start(n);
+        }
+        for n in 0..CONTROLLERS {
+            stage.wait_ready(n);
+        }
+        stage
+    }
+
+    fn start(&mut self, n: usize) {
+        let child = Command::new(env!("CARGO_BIN_EXE_pulleywood"))
+            .arg("--config")
+            .arg(&self.files[n])
+            .env(
+                "LOG_LEVEL",
+                std::env::var("LOG_LEVEL").as_deref().unwrap_or("error"),
+            )
+            .stdout(Stdio::null())
+            .spawn();
+        self.running[n] = Some(child.unwrap());
+    }
+
+    fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.running[n].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn set_all(&self, fault: Fault) {
+        for front in &self.fronts {
+            front.set(fault);
+        }
+    }
+
+    fn call(&self, n: usize, method: &str, path: &str, body: Option<&[u8]>) -> (u16, Vec<u8>) {
+        let client = Client::new(self.serve_on[n], 0);
+        match client.call(method, path, body, Duration::from_secs(5)) {
+            Ok(answer) => (answer.status, answer.body),
+            Err(_) => (0, Vec::new()),
+        }
+    }
+
+    fn wait_ready(&self, n: usize) {
+        wait("ready", || self.call(n, "GET", "/ready", None).0 == 200);
+    }
+
+    /// Submits until it is accepted, each time to the next controller.
+    fn submit(&self, spec: &JobSpec, run: Duration) {
+        self.world.add_job(spec.clone(), run);
+        let body = cbor::encode(spec);
+        let mut n = 0;
+        wait("accepted", || {
+            n += 1;
+            let (status, _) = self.call(n % CONTROLLERS, "POST", "/v2/runs", Some(&body));
+            assert!(!(400..500).contains(&status) || status == 429, "{status}");
+            status == 200 || status == 201
+        });
+    }
+
+    fn status(&self, n: usize, id: &JobId) -> Option<JobStatus> {
+        let (status, body) = self.call(n, "GET", &format!("/v2/runs/{id}"), None);
+        assert_ne!(status, 404, "an accepted job was forgotten");
+        (status == 200).then(|| cbor::decode::<JobAnswer>(&body).unwrap().status)
+    }
+
+    fn wait_done(&self, id: &JobId) {
+        wait("done", || {
+            (0..CONTROLLERS).any(|n| {
+                let told = self.status(n, id) == Some(JobStatus::Done);
+                assert!(!told || self.world.is_done(id), "told done too early");
+                told
+            })
+        });
+    }
+
+    fn finish(&self) {
+        assert_eq!(self.world.broken(), Vec::<String>::new());
+    }
+}
+
+fn job(n: u64, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: JobId::parse(&format!("j-{n:06}")).unwrap(),
+        class: "c".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        rank: Rank::Standard,
+        tasks,
+        cpus: Amount(2.0),
+        gpus: Amount(1.0),
+        memory_gb: Amount(4.0),
+        image: "img".into(),
+        image_gb: Amount(0.0),
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: Amount(1.0),
+        checkpoint_s: Amount(0.0),
+        save_s: Amount(0.0),
+        deadline_s: None,
+    }
+}
+
+const SHORT: Duration = Duration::from_millis(300);
+const LONG: Duration = Duration::from_secs(4);
+
+#[test]
+fn users_are_answered_as_the_protocol_says() {
+    let stage = Stage::new(2.0);
+    let good = job(1, 2);
+    type Change = fn(&mut JobSpec);
+    let cases: [(&str, Change, u16); 9] = [
+        ("no tasks", |s| s.tasks = 0, 400),
+        ("too many tasks", |s| s.tasks = 100_001, 400),
+        ("not a number", |s| s.cpus = Amount(f64::NAN), 400),
+        ("infinite", |s| s.gpus = Amount(f64::INFINITY), 400),
+        ("negative", |s| s.memory_gb = Amount(-1.0), 400),
+        ("unknown team", |s| s.team = "blue".into(), 422),
+        ("unknown type", |s| s.types = Some(vec!["x".into()]), 422),
+        ("too large a task", |s| s.cpus = Amount(9.0), 422),
+        (
+            "a service over its team's limit",
+            |s| (s.shape, s.tasks) = (Shape::Service, 3),
+            422,
+        ),
+    ];
+    for (name, change, expected) in cases {
+        let mut spec = good.clone();
+        change(&mut spec);
+        let body = cbor::encode(&spec);
+        let (status, _) = stage.call(0, "POST", "/v2/runs", Some(&body));
+        assert_eq!(status, expected, "{name}");
+    }
+    type Raw = (
+        &'static str,
+        &'static str,
+        &'static str,
+        Option<&'static [u8]>,
+        u16,
+    );
+    let raw: [Raw; 9] = [
+        ("not CBOR", "POST", "/v2/runs", Some(b"\xff\xff"), 400),
+        ("not a map", "POST", "/v2/runs", Some(b"\x01"), 400),
+        ("an empty map", "POST", "/v2/runs", Some(b"\xa0"), 400),
+        ("wrong method", "GET", "/v2/runs", None, 405),
+        ("unknown path", "GET", "/v2/walks", None, 404),
+        ("unknown job", "GET", "/v2/runs/j-999999", None, 404),
+        ("no job id", "GET", "/v2/runs/xyz", None, 404),
+        (
+            "cancel an unknown job",
+            "POST",
+            "/v2/runs/j-999999/cancel",
+            None,
+            404,
+        ),
+        ("malformed report", "POST", "/v1/report", Some(b"\xa1"), 400),
+    ];
+    for (name, method, path, body, expected) in raw {
+        assert_eq!(stage.call(1, method, path, body).0, expected, "{name}");
+    }
+    stage.submit(&good, SHORT);
+    stage.wait_done(&good.id);
+    // A retry gets the state at any later time, from any controller, and a
+    // job that is done cannot be cancelled.
+    let body = cbor::encode(&good);
+    for n in 0..CONTROLLERS {
+        let cancel = format!("/v2/runs/{}/cancel", good.id);
+        for (path, body) in [("/v2/runs", Some(&body[..])), (&cancel, None)] {
+            let (status, body) = stage.call(n, "POST", path, body);
+            assert_eq!(status, 200);
+            let answer: JobAnswer = cbor::decode(&body).unwrap();
+            assert_eq!(answer.status, JobStatus::Done);
+        }
+    }
+    stage.finish();
+}
+
+#[test]
+fn answers_lost_and_transactions_applied_late_break_nothing() {
+    for fault in [Fault::LoseAnswers, Fault::Late(1700)] {
+        let stage = Stage::new(0.0);
+        let first = job(1, 4);
+        stage.submit(&first, LONG);
+        wait("running", || stage.world.running(&first.id) > 0);
+        stage.fronts[0].set(fault);
+        stage.fronts[1].set(fault);
+        let second = job(2, 2);
+        stage.submit(&second, SHORT);
+        stage.wait_done(&second.id);
+        stage.set_all(Fault::None);
+        stage.wait_done(&first.id);
+        stage.finish();
+    }
+}
+
+#[test]
+fn a_take_over_waits_for_a_silent_machine() {
+    let mut stage = Stage::new(0.0);
+    let spec = job(1, 8);
+    stage.submit(&spec, LONG);
+    wait("all run", || stage.world.running(&spec.id) == 8);
+    // A worker falls silent while its tasks run on, and every owner dies.
+    let machine = stage
+        .world
+        .machines_of(&spec.id)
+        .into_iter()
+        .next()
+        .unwrap();
+    stage.cloud.worker(&machine).unwrap().set_cut(true);
+    for n in 0..CONTROLLERS {
+        stage.kill(n);
+    }
+    for n in 0..CONTROLLERS {
+        stage.start(n);
+    }
+    stage.wait_done(&spec.id);
+    stage.finish();
+}
+
+#[test]
+fn a_cut_owner_is_replaced_and_comes_back() {
+    for fault in [Fault::Cut, Fault::Refuse] {
+        let stage = Stage::new(0.0);
+        let spec = job(1, 6);
+        stage.submit(&spec, LONG);
+        wait("running", || stage.world.running(&spec.id) > 0);
+        stage.fronts[0].set(fault);
+        stage.wait_done(&spec.id);
+        stage.fronts[0].set(Fault::None);
+        stage.wait_ready(0);
+        let next = job(2, 2);
+        stage.submit(&next, SHORT);
+        stage.wait_done(&next.id);
+        stage.finish();
+    }
+}
+
+#[test]
+fn a_job_cancelled_while_its_owner_is_cut_off_is_gone_for_good() {
+    for owner in 0..CONTROLLERS {
+        let stage = Stage::new(0.0);
+        let mut spec = job(1, 4);
+        spec.shape = Shape::Service;
+        stage.submit(&spec, LONG);
+        wait("all run", || stage.world.running(&spec.id) == 4);
+        stage.fronts[owner].set(Fault::Cut);
+        let other = (owner + 1) % CONTROLLERS;
+        let path = format!("/v2/runs/{}/cancel", spec.id);
+        wait("cancelled", || {
+            stage.call(other, "POST", &path, None).0 == 200
+        });
+        wait("gone", || stage.world.running(&spec.id) == 0);
+        stage.world.gone_for_good(&spec.id);
+        stage.fronts[owner].set(Fault::None);
+        stage.wait_ready(owner);
+        let next = job(2, 2);
+        stage.submit(&next, SHORT);
+        stage.wait_done(&next.id);
+        for n in 0..CONTROLLERS {
+            wait("told", || {
+                stage.status(n, &spec.id) == Some(JobStatus::Cancelled)
+            });
+        }
+        stage.finish();
+    }
+}
+
+#[test]
+fn accepted_jobs_survive_a_restart_of_all_during_an_outage() {
+    let mut stage = Stage::new(0.0);
+    let specs: Vec<JobSpec> = (1..=3).map(|n| job(n, 3)).collect();
+    for spec in &specs {
+        stage.submit(spec, LONG);
+    }
+    stage.set_all(Fault::Refuse);
+    // What can't be taken is answered at once.
+    let body = cbor::encode(&job(9, 1));
+    wait("refused", || {
+        (0..CONTROLLERS).all(|n| {
+            let (status, _) = stage.call(n, "POST", "/v2/runs", Some(&body));
+            status == 503 || status == 429
+        })
+    });
+    for n in 0..CONTROLLERS {
+        stage.kill(n);
+    }
+    for n in 0..CONTROLLERS {
+        stage.start(n);
+    }
+    stage.state.extend_leases();
+    stage.set_all(Fault::None);
+    for spec in &specs {
+        stage.wait_done(&spec.id);
+    }
+    stage.finish();
+}
+
+#[test]
+fn a_limit_holds_over_a_lapsed_part() {
+    let mut stage = Stage::new(3.0);
+    let specs: Vec<JobSpec> = (1..=4).map(|n| job(n, 3)).collect();
+    for spec in &specs {
+        stage.submit(spec, Duration::from_secs(1));
+    }
+    wait("running", || {
+        specs.iter().any(|s| stage.world.running(&s.id) > 0)
+    });
+    stage.kill(0);
+    stage.fronts[1].set(Fault::Cut);
+    wait("another start", || {
+        specs.iter().map(|s| stage.world.starts(&s.id)).sum::<u32>() > 4
+    });
+    stage.start(0);
+    stage.fronts[1].set(Fault::None);
+    for spec in &specs {
+        stage.wait_done(&spec.id);
+    }
+    assert!(!stage.state.keys("c/grant/").is_empty());
+    stage.finish();
+}
