--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -229,6 +229,13 @@
     /// Another controller's digest came.
     pub fn take_digest(&mut self, digest: Digest, now: Moment) {
         let lapsed = self.config.surely_lapsed();
+        // Another holds a part under a newer term: this controller lost it
+        // without hearing so. The sooner it stops answering that part's
+        // workers, the sooner the new owner may place their tasks.
+        self.owned.retain(|part, owned| {
+            let lost = |(p, term): &(PartId, Term)| p == part && *term > owned.ledger.term;
+            !digest.serving.iter().any(lost)
+        });
         for (part, owned) in &mut self.owned {
             // The old owner says that it no longer answers workers under the
             // old term, or its process has ended: what it answered last has
