--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -45,6 +45,9 @@
     pub cushion: f64,
     /// Service jobs of the largest size seen that room is kept for.
     pub reserve_jobs: f64,
+    /// Boot times of waiting that spot work takes before ordinary machines are
+    /// rented for it.
+    pub overflow: f64,
     /// How long a machine may idle beyond its paid minimum.
     pub idle_s: f64,
     /// Seconds of delay that running spot work on an ordinary machine is worth.
@@ -62,6 +65,7 @@
             part_lease_s: (workers.lease_s * 0.5).clamp(3.0, 10.0),
             cushion: 0.1,
             reserve_jobs: 0.5,
+            overflow: 2.0,
             idle_s: 45.0,
             spot_bias_s: 30.0,
             sick_jobs: 2,
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -338,6 +338,11 @@
     demands.sort_by_key(|(_, d)| std::cmp::Reverse(d.rank));
 
     let mut hires: BTreeMap<Kind, u32> = BTreeMap::new();
+    let queued_s: f64 = demands
+        .iter()
+        .filter(|(_, d)| d.spot)
+        .map(|(_, d)| f64::from(d.count) * d.work_s)
+        .sum();
     for (part, demand) in demands {
         let need = need(demand);
         let mut left = demand.count;
@@ -402,6 +407,14 @@
             let Some((kind, flavor)) = cheapest(config, memory, demand, &need, now, &hires) else {
                 break;
             };
+            // Spot machines are to be had no more. What runs now will have
+            // made room before a dearer machine is up, unless much waits.
+            if demand.spot && !kind.spot {
+                let patience = flavor.boot_s.0 * config.policy.overflow;
+                if queued_s <= patience * slots(&bins, demand, &need) {
+                    break;
+                }
+            }
             bins.push(Bin::fresh(None, kind.clone(), flavor));
             *hires.entry(kind).or_insert(0) += 1;
             left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
@@ -458,6 +471,15 @@
         .is_some_and(|(d, _)| d.silent_s >= 0.0)
 }
 
+/// Tasks of one shape that all machines together run at a time, beside work
+/// bound to ordinary machines.
+fn slots(bins: &[Bin], demand: &Demand, need: &Room) -> f64 {
+    bins.iter()
+        .filter(|b| allows(demand, &b.kind))
+        .map(|b| f64::from(b.whole.times(need)) * (1.0 - b.pinned).max(0.0))
+        .sum()
+}
+
 /// Fills bins with a demand, fullest first; what is left over.
 fn fill(
     bins: &mut [Bin],
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -56,6 +56,7 @@
             part_lease_s: 5.0,
             cushion: 0.1,
             reserve_jobs: 1.0,
+            overflow: 1.0,
             idle_s: 60.0,
             spot_bias_s: 30.0,
             sick_jobs: 2,
--- a/crates/pulleywood/src/policy.rs
+++ b/crates/pulleywood/src/policy.rs
@@ -39,6 +39,7 @@
     ("part_lease_s", |p| &mut p.part_lease_s, 1.0, 600.0),
     ("cushion", |p| &mut p.cushion, 0.0, 10.0),
     ("reserve_jobs", |p| &mut p.reserve_jobs, 0.0, 100.0),
+    ("overflow", |p| &mut p.overflow, 0.0, 100.0),
     ("idle_s", |p| &mut p.idle_s, 0.0, 86_400.0),
     ("spot_bias_s", |p| &mut p.spot_bias_s, 0.0, 3600.0),
 ];
