Round the idle cushion down: room for the next service job is kept apart

Cause: delta kept three idle ordinary machines for 8.5 bound ones, two of them as room for the next service job and one as the cushion rounded up (fleet line).

--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -65,7 +65,7 @@
             part_lease_s: (workers.lease_s * 0.5).clamp(3.0, 10.0),
             cushion: 0.1,
             reserve_jobs: 0.5,
-            overflow: 2.0,
+            overflow: 2.5,
             idle_s: 45.0,
             spot_bias_s: 30.0,
             sick_jobs: 2,
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -651,7 +651,7 @@
             })
             .collect();
         idle.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let keep = (in_use * config.policy.cushion).ceil() as usize;
+        let keep = (in_use * config.policy.cushion).floor() as usize;
         for (_, id, part) in idle.into_iter().skip(keep) {
             actions.push(Action::Retire(id.clone(), part));
         }
