--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -150,7 +150,7 @@
 }
 
 /// A part without an owner waits this long for one that has none.
-const GRACE: Duration = Duration::from_millis(1500);
+const GRACE: Duration = Duration::from_millis(800);
 
 fn next_step(shared: &Shared, node: &Node) -> Step {
     let now = shared.clock.now();
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -15,6 +15,9 @@
 /// A view older than this tells no worker where to go.
 const FRESH_VIEW: Duration = Duration::from_secs(4);
 
+/// A controller not heard of for longer is no place to send workers to.
+const FRESH_PEER: Duration = Duration::from_millis(2500);
+
 /// Where a report belongs.
 enum Route {
     /// To a part held here.
@@ -65,12 +68,19 @@
     if !node.viewed {
         return Route::Nobody;
     }
-    // A controller that is cut off knows old owners only. Sending workers to
-    // one that died kept them going back and forth between the two, and the
-    // new owner never heard them.
-    let there = |member: &MemberId| match now.since(node.caught_up) < FRESH_VIEW {
-        true => Route::There(member.clone()),
-        false => Route::Nobody,
+    // A controller that is cut off knows old owners only, and an owner that
+    // its peers have not heard of lately may be gone: a worker sent there
+    // waits out four seconds of its lease for nothing, and comes back here.
+    // Without a word it tries the next controller a second later.
+    let there = |member: &MemberId| {
+        let heard = node
+            .digests
+            .get(member)
+            .is_some_and(|(_, at)| now.since(*at) < FRESH_PEER);
+        match heard && now.since(node.caught_up) < FRESH_VIEW {
+            true => Route::There(member.clone()),
+            false => Route::Nobody,
+        }
     };
     let held = |p: &PartId| node.owned.get(p).filter(|o| o.loaded && !o.leaving);
     match node.view.machines.get(&report.machine) {
