--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -91,7 +91,7 @@
         }
         self.booting.retain(|id, (kind, since)| {
             let boot = config.flavors.get(&kind.flavor).map_or(0.0, |f| f.boot_s.0);
-            !seen.records.contains_key(id) && seen.now.since(*since) < secs(boot * 2.5 + 10.0)
+            !seen.records.contains_key(id) && seen.now.since(*since) < secs(boot * LATE_BOOT)
         });
     }
 
@@ -236,6 +236,10 @@
     }
 }
 
+/// A machine that takes more than this many usual boot times may never come
+/// up, and is counted on no more.
+const LATE_BOOT: f64 = 1.7;
+
 /// Most machines that one request rents.
 const MAX_HIRE: u32 = 50;
 
@@ -288,7 +292,7 @@
                     memory_gb: m.memory_gb,
                 }
             }
-            _ if age > flavor.boot_s.0 * 2.5 + 10.0 => continue,
+            _ if age > flavor.boot_s.0 * LATE_BOOT => continue,
             _ => whole,
         };
         bins.push(Bin {
@@ -346,8 +350,10 @@
     for (part, demand) in demands {
         let need = need(demand);
         let mut left = demand.count;
-        // Room of the part itself, on machines up or on the way.
-        left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
+        // Room of the part itself, on machines that are up.
+        left = fill(&mut bins, left, demand, &need, |b| {
+            b.part == Some(part) && up(b, &digests)
+        });
         // Idle machines of other parts are moved.
         while left > 0 {
             let idle = bins.iter().position(|b| {
@@ -400,6 +406,8 @@
                 }
             }
         }
+        // Machines on their way come after all that is up: some never arrive.
+        left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         // The rest is rented.
         let mut guard = 0;
         while left > 0 && guard < 200 {
