--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -392,11 +392,15 @@
             }
         }
         // What lower ranks hold yields, here or in another part.
-        left = press(&mut bins, left, demand, &need, |b| b.is_of(part));
+        left = press(&mut bins, left, demand, &need, |b| {
+            b.part == Some(part) && up(b, &digests)
+        });
         if demand.free && left > 0 {
             for other in seen.parts.keys().filter(|p| **p != part) {
                 let before = left;
-                left = press(&mut bins, left, demand, &need, |b| b.part == Some(*other));
+                left = press(&mut bins, left, demand, &need, |b| {
+                    b.part == Some(*other) && up(b, &digests)
+                });
                 if left < before {
                     let lent = Demand {
                         count: before - left,
