--- /dev/null
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -0,0 +1,297 @@
+//! The coordinator's decisions about the fleet.
+
+mod common;
+
+use common::*;
+use pulleywood_core::fleet::{Action, Kind, Memory, Seen, decide};
+use pulleywood_core::{Config, Room};
+use pulleywood_wire::cbor::Amount;
+use pulleywood_wire::cloud::{Rental, RentalStatus};
+use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
+use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::{MachineId, Moment, PartId, Rank, Term};
+use std::collections::BTreeMap;
+
+const A: PartId = PartId(0);
+const B: PartId = PartId(1);
+
+fn demand(count: u32, rank: Rank, spot: bool) -> Demand {
+    Demand {
+        cpus: 4.0,
+        gpus: 1.0,
+        memory_gb: 8.0,
+        types: None,
+        zones: vec![],
+        spot,
+        rank,
+        work_s: 60.0,
+        count,
+        free: true,
+    }
+}
+
+/// A fleet of two parts as the coordinator sees it.
+struct Fleet {
+    config: Config,
+    memory: Memory,
+    records: BTreeMap<MachineId, MachineRecord>,
+    parts: BTreeMap<PartId, PartDigest>,
+    list: Option<Vec<Rental>>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let part = |part| PartDigest {
+            part,
+            ..PartDigest::default()
+        };
+        Fleet {
+            config: config(),
+            memory: Memory::default(),
+            records: BTreeMap::new(),
+            parts: BTreeMap::from([(A, part(A)), (B, part(B))]),
+            list: None,
+        }
+    }
+
+    fn needs(&mut self, part: PartId, demand: Demand) {
+        self.parts.get_mut(&part).unwrap().demand.push(demand);
+    }
+
+    /// A machine of four GPUs, of which tasks of `rank` hold some.
+    fn machine(&mut self, part: PartId, n: usize, held: f64, rank: Rank, idle_s: f64) {
+        let record = MachineRecord {
+            part,
+            term: Term(1),
+            flavor: "g4".into(),
+            zone: "a".into(),
+            spot: false,
+            endpoint: "10.0.0.1:1".into(),
+            retiring: false,
+            images: vec![],
+        };
+        self.records.insert(machine(n), record);
+        let free = Room {
+            cpus: 16.0 - 4.0 * held,
+            gpus: 4.0 - held,
+            memory_gb: 64.0 - 8.0 * held,
+        };
+        let digest = MachineDigest {
+            machine: machine(n),
+            cpus: free.cpus,
+            gpus: free.gpus,
+            memory_gb: free.memory_gb,
+            idle_s,
+            silent_s: 0.5,
+            unfit: false,
+            pinned: 0.0,
+            held: vec![(rank, 4.0 * held, held, 8.0 * held)],
+        };
+        self.parts.get_mut(&part).unwrap().machines.push(digest);
+    }
+
+    fn decide(&mut self, now: Moment) -> Vec<Action> {
+        let seen = Seen {
+            now,
+            records: &self.records,
+            parts: &self.parts,
+            list: self.list.as_deref(),
+        };
+        decide(&self.config, &mut self.memory, &seen)
+    }
+
+    fn hired(&mut self, now: Moment) -> u32 {
+        let hires = self.decide(now).into_iter().map(|a| match a {
+            Action::Hire(_, count) => count,
+            _ => 0,
+        });
+        hires.sum()
+    }
+}
+
+fn kind(zone: &str, spot: bool) -> Kind {
+    Kind {
+        flavor: "g4".into(),
+        zone: zone.into(),
+        spot,
+    }
+}
+
+fn rental(n: usize, status: RentalStatus, age_s: f64) -> Rental {
+    Rental {
+        machine: machine(n),
+        endpoint: None,
+        flavor: "g4".into(),
+        zone: "a".into(),
+        spot: false,
+        status,
+        age_s: Amount(age_s),
+    }
+}
+
+#[test]
+fn what_does_not_fit_is_rented_where_it_is_cheapest() {
+    // (tasks, may use spot, machines, spot ones)
+    let cases = [(1, true, 1, true), (4, false, 1, false), (9, true, 3, true)];
+    for (tasks, spot, machines, on_spot) in cases {
+        let mut fleet = Fleet::new();
+        fleet.needs(A, demand(tasks, Rank::Standard, spot));
+        let hires: Vec<_> = fleet
+            .decide(at(0.0))
+            .into_iter()
+            .filter_map(|a| match a {
+                Action::Hire(kind, n) => Some((kind.spot, n)),
+                _ => None,
+            })
+            .collect();
+        assert!(hires.iter().all(|(s, _)| *s == on_spot), "{hires:?}");
+        assert_eq!(hires.iter().map(|(_, n)| n).sum::<u32>(), machines);
+    }
+}
+
+#[test]
+fn refused_kinds_are_backed_off() {
+    let mut fleet = Fleet::new();
+    fleet.needs(A, demand(4, Rank::Production, false));
+    for zone in ["a", "b"] {
+        fleet.memory.refused(&kind(zone, false), at(0.0));
+    }
+    for (s, hired) in [(1.0, 0), (4.9, 0), (5.0, 1)] {
+        assert_eq!(fleet.hired(at(s)), hired, "{s}");
+    }
+}
+
+#[test]
+fn spot_work_gets_ordinary_machines_only_when_much_of_it_waits() {
+    // One machine of four slots runs; two boot times of work are 4 * 60 s.
+    for (tasks, hires) in [(3, false), (40, true)] {
+        let mut fleet = Fleet::new();
+        fleet.config.policy.overflow = 2.0;
+        fleet.machine(A, 0, 4.0, Rank::Standard, -1.0);
+        fleet.needs(A, demand(tasks, Rank::Standard, true));
+        for zone in ["a", "b"] {
+            fleet.memory.refused(&kind(zone, true), at(0.0));
+        }
+        assert_eq!(fleet.hired(at(1.0)) > 0, hires, "{tasks}");
+    }
+}
+
+#[test]
+fn idle_machines_move_and_tasks_go_to_room_elsewhere() {
+    type Want = fn(&Action) -> bool;
+    let cases: [(&str, f64, f64, Rank, Rank, Option<Want>); 4] = [
+        (
+            "an idle machine is moved",
+            0.0,
+            30.0,
+            Rank::Standard,
+            Rank::Standard,
+            Some(|a| matches!(a, Action::Move(_, B, A))),
+        ),
+        (
+            "tasks are lent to a busy one",
+            2.0,
+            -1.0,
+            Rank::Standard,
+            Rank::Standard,
+            Some(|a| matches!(a, Action::Lend(A, B, d) if d.count == 1)),
+        ),
+        (
+            "lower ranks yield",
+            4.0,
+            -1.0,
+            Rank::Idle,
+            Rank::Production,
+            Some(|a| matches!(a, Action::Lend(A, B, d) if d.count == 1)),
+        ),
+        (
+            "equal ranks do not",
+            4.0,
+            -1.0,
+            Rank::Production,
+            Rank::Production,
+            None,
+        ),
+    ];
+    for (name, held, idle_s, there, rank, want) in cases {
+        let mut fleet = Fleet::new();
+        fleet.machine(B, 0, held, there, idle_s);
+        fleet.needs(A, demand(1, rank, false));
+        let actions = fleet.decide(at(0.0));
+        let hires = actions.iter().any(|a| matches!(a, Action::Hire(..)));
+        match want {
+            Some(want) => assert!(actions.iter().any(want) && !hires, "{name}: {actions:?}"),
+            None => assert!(hires, "{name}: {actions:?}"),
+        }
+    }
+}
+
+#[test]
+fn machines_on_their_way_are_no_reason_to_wait() {
+    // Replicas once waited for a boot, or for a machine that never came, while
+    // lower ranks held room in another part.
+    let mut fleet = Fleet::new();
+    fleet
+        .memory
+        .hired(&[machine(9)], &kind("a", false), at(0.0));
+    fleet.machine(B, 0, 4.0, Rank::Idle, -1.0);
+    fleet.needs(A, demand(1, Rank::Production, false));
+    let actions = fleet.decide(at(1.0));
+    assert!(
+        actions.iter().any(|a| matches!(a, Action::Lend(A, B, _))),
+        "{actions:?}"
+    );
+    // They are room all the same, until they are late.
+    let mut fleet = Fleet::new();
+    fleet
+        .memory
+        .hired(&[machine(9)], &kind("a", false), at(0.0));
+    fleet.needs(A, demand(4, Rank::Production, false));
+    for (s, hired) in [(1.0, 0), (50.0, 0), (52.0, 1)] {
+        assert_eq!(fleet.hired(at(s)), hired, "{s}");
+    }
+}
+
+#[test]
+fn listed_machines_are_released_only_when_surely_of_no_use() {
+    let cases = [
+        ("booting", RentalStatus::Starting, 40.0, false),
+        ("never came up", RentalStatus::Starting, 160.0, true),
+        ("failed", RentalStatus::Failed, 10.0, true),
+        ("running, nobody's yet", RentalStatus::Running, 500.0, false),
+    ];
+    for (name, status, age, released) in cases {
+        let mut fleet = Fleet::new();
+        fleet.list = Some(vec![rental(0, status, age)]);
+        let actions = fleet.decide(at(0.0));
+        let release = actions.iter().any(|a| matches!(a, Action::Release(..)));
+        assert_eq!(release, released, "{name}");
+    }
+    // A machine that reports stays, however the list may lag.
+    let mut fleet = Fleet::new();
+    fleet.machine(A, 0, 1.0, Rank::Standard, -1.0);
+    fleet.list = Some(vec![]);
+    for s in [0.0, 60.0, 600.0] {
+        let actions = fleet.decide(at(s));
+        assert!(!actions.iter().any(|a| matches!(a, Action::Release(..))));
+    }
+}
+
+#[test]
+fn idle_machines_go_but_not_the_room_kept_for_the_next_service() {
+    for (reserve, retired) in [(None, 2), (Some(2), 1)] {
+        let mut fleet = Fleet::new();
+        fleet.machine(A, 0, 0.0, Rank::Standard, 500.0);
+        fleet.machine(B, 1, 0.0, Rank::Standard, 500.0);
+        if let Some(count) = reserve {
+            let part = fleet.parts.get_mut(&A).unwrap();
+            part.reserve.push(demand(count, Rank::Production, false));
+        }
+        let actions = fleet.decide(at(0.0));
+        let n = actions
+            .iter()
+            .filter(|a| matches!(a, Action::Retire(..)))
+            .count();
+        assert_eq!(n, retired, "{reserve:?}: {actions:?}");
+    }
+}
