Test records, settings, policy and the command line; remove what repeats

Demands are built in one place, bins filled in one, and the newest term read in one; levers, fields and calls that nothing used are gone. A record event that brings nothing new is skipped, so that a job of 100,000 tasks is not gone through again after each batch.

--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -1,7 +1,7 @@
 //! What a part's owner tells the other controllers.
 
 use crate::config::Config;
-use crate::ledger::{Job, PartLedger, SlotState};
+use crate::ledger::{Job, PartLedger};
 use crate::room::{Room, add};
 use pulleywood_wire::Moment;
 use pulleywood_wire::job::Shape;
@@ -67,18 +67,7 @@
         let mut reserve = Vec::new();
         for job in largest.into_values() {
             let spec = &job.spec;
-            let item = |zones, count| Demand {
-                cpus: spec.cpus.0,
-                gpus: spec.gpus.0,
-                memory_gb: spec.memory_gb.0,
-                types: spec.types.clone(),
-                zones,
-                spot: spec.spot,
-                rank: spec.rank,
-                work_s: 0.0,
-                count,
-                free: true,
-            };
+            let item = |zones, count| demand_of(job, zones, count);
             match &spec.zone {
                 Some(zone) => reserve.push(item(vec![zone.clone()], spec.tasks)),
                 None if spec.spread && spec.tasks > 1 => {
@@ -92,25 +81,9 @@
     }
 
     fn add_demand(&self, demand: &mut Vec<Demand>, job: &Job) {
-        let spec = &job.spec;
         let zones = self.zones_left(job);
-        let work_s = match spec.shape {
-            Shape::Array | Shape::Gang => spec.estimate_s.0,
-            Shape::Service => 0.0,
-        };
         for (zones, count) in zones {
-            let item = Demand {
-                cpus: spec.cpus.0,
-                gpus: spec.gpus.0,
-                memory_gb: spec.memory_gb.0,
-                types: spec.types.clone(),
-                zones,
-                spot: spec.spot,
-                rank: spec.rank,
-                work_s,
-                count,
-                free: job.may_be_lent(),
-            };
+            let item = demand_of(job, zones, count);
             let same = demand.iter_mut().find(|d| {
                 (d.cpus, d.gpus, d.memory_gb) == (item.cpus, item.gpus, item.memory_gb)
                     && d.types == item.types
@@ -120,7 +93,8 @@
             match same {
                 Some(d) => {
                     let all = f64::from(d.count + count);
-                    d.work_s = (d.work_s * f64::from(d.count) + work_s * f64::from(count)) / all;
+                    d.work_s =
+                        (d.work_s * f64::from(d.count) + item.work_s * f64::from(count)) / all;
                     d.count += count;
                 }
                 None => demand.push(item),
@@ -202,11 +176,24 @@
             })
             .collect()
     }
+}
 
-    /// Attempts that were sent or run now, for logs.
-    pub fn load(&self) -> (usize, usize) {
-        let slots = || self.machines.values().flat_map(|m| &m.slots);
-        let running = slots().filter(|s| s.state == SlotState::Running).count();
-        (slots().filter(|s| s.holds_room()).count(), running)
+/// Some of a job's tasks as a demand.
+fn demand_of(job: &Job, zones: Vec<String>, count: u32) -> Demand {
+    let spec = &job.spec;
+    Demand {
+        cpus: spec.cpus.0,
+        gpus: spec.gpus.0,
+        memory_gb: spec.memory_gb.0,
+        types: spec.types.clone(),
+        zones,
+        spot: spec.spot,
+        rank: spec.rank,
+        work_s: match spec.shape {
+            Shape::Array | Shape::Gang => spec.estimate_s.0,
+            Shape::Service => 0.0,
+        },
+        count,
+        free: job.may_be_lent(),
     }
 }
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -492,38 +492,36 @@
         .sum()
 }
 
-/// Fills bins with a demand, fullest first; what is left over.
+/// Fills free room with a demand; what is left over.
 fn fill(
     bins: &mut [Bin],
-    mut left: u32,
+    left: u32,
     demand: &Demand,
     need: &Room,
     of: impl Fn(&Bin) -> bool,
 ) -> u32 {
-    for bin in bins.iter_mut() {
-        if left == 0 {
-            break;
-        }
-        if !of(bin) || !allows(demand, &bin.kind) {
-            continue;
-        }
-        let n = bin.free.times(need).min(left);
-        for _ in 0..n {
-            bin.free -= *need;
-        }
-        bin.taken += n;
-        left -= n;
-    }
-    left
+    put(bins, left, demand, need, of, |b| b.free)
 }
 
 /// Fills room that lower ranks hold with a demand; what is left over.
 fn press(
+    bins: &mut [Bin],
+    left: u32,
+    demand: &Demand,
+    need: &Room,
+    of: impl Fn(&Bin) -> bool,
+) -> u32 {
+    put(bins, left, demand, need, of, |b| b.yields(demand.rank))
+}
+
+/// Puts a demand's tasks into the bins' room, in their order.
+fn put(
     bins: &mut [Bin],
     mut left: u32,
     demand: &Demand,
     need: &Room,
     of: impl Fn(&Bin) -> bool,
+    room: impl Fn(&Bin) -> Room,
 ) -> u32 {
     for bin in bins.iter_mut() {
         if left == 0 {
@@ -532,7 +530,7 @@
         if !of(bin) || !allows(demand, &bin.kind) {
             continue;
         }
-        let n = bin.yields(demand.rank).times(need).min(left);
+        let n = room(bin).times(need).min(left);
         for _ in 0..n {
             bin.free -= *need;
         }
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -398,7 +398,8 @@
         let mine = record.share(self.part);
         let (bound, away) = bindings(&record, self.part);
         match self.jobs.get_mut(&id) {
-            Some(job) if stamp < job.stamp => return,
+            // Nothing new, as after a batch of this owner's own.
+            Some(job) if stamp <= job.stamp => return,
             Some(job) => {
                 if stamp > job.stamp {
                     job.offered = TaskSet::new();
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -179,7 +179,8 @@
 #[test]
 fn idle_machines_move_and_tasks_go_to_room_elsewhere() {
     type Want = fn(&Action) -> bool;
-    let cases: [(&str, f64, f64, Rank, Rank, Option<Want>); 4] = [
+    type Case = (&'static str, f64, f64, Rank, Rank, Option<Want>);
+    let cases: [Case; 4] = [
         (
             "an idle machine is moved",
             0.0,
--- a/crates/pulleywood-net/src/client.rs
+++ b/crates/pulleywood-net/src/client.rs
@@ -69,11 +69,6 @@
         }
     }
 
-    /// Forgets all idle connections, for example after a cut.
-    pub fn drop_idle(&self) {
-        self.idle.lock().clear();
-    }
-
     /// Sends one request and waits for its answer until the deadline.
     pub fn call(
         &self,
--- a/crates/pulleywood-wire/src/cloud.rs
+++ b/crates/pulleywood-wire/src/cloud.rs
@@ -57,7 +57,7 @@
     pub how_many: u32,
 }
 
-/// The machines rented.
+/// The machines rented, or to be released.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Hired {
     /// Their names.
@@ -111,6 +111,3 @@
     /// More pages follow.
     pub more: bool,
 }
-
-/// A list of machines to release.
-pub type Release = Hired;
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -304,11 +304,11 @@
 
     /// All of `0..n`.
     pub fn full(n: u32) -> Self {
-        let mut set = Self::new();
-        for i in 0..n {
-            set.insert(i);
+        let mut words = vec![u64::MAX; n as usize / 64];
+        if !n.is_multiple_of(64) {
+            words.push((1 << (n % 64)) - 1);
         }
-        set
+        Self { words, count: n }
     }
 
     /// Members.
--- /dev/null
+++ b/crates/pulleywood-wire/tests/records.rs
@@ -0,0 +1,192 @@
+//! Ids, done sets and loans, and the size of what is stored.
+
+use pulleywood_wire::cbor::{self, Amount};
+use pulleywood_wire::record::{ChunkRecord, JobRecord, Key, TaskSet, chunk_tasks};
+use pulleywood_wire::{Attempt, JobId, JobSpec, PartId, Rank, Shape, TaskId, Term};
+
+fn spec(tasks: u32) -> JobSpec {
+    JobSpec {
+        id: JobId::parse("j-000001").unwrap(),
+        class: "class".into(),
+        team: "team".into(),
+        shape: Shape::Array,
+        rank: Rank::Standard,
+        tasks,
+        cpus: Amount(1.5),
+        gpus: Amount(0.0),
+        memory_gb: Amount(4.0),
+        image: "image-07".into(),
+        image_gb: Amount(6.2),
+        types: Some(vec!["a1".into(), "b2".into()]),
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: Amount(60.0),
+        checkpoint_s: Amount(0.0),
+        save_s: Amount(0.0),
+        deadline_s: Some(Amount(900.0)),
+    }
+}
+
+#[test]
+fn ids_are_parsed_strictly() {
+    let jobs = [
+        ("j-000412", true),
+        ("j-1", true),
+        ("j-", false),
+        ("j-12x", false),
+        ("000412", false),
+        ("j-1/2", false),
+        ("J-1", false),
+    ];
+    for (text, sound) in jobs {
+        assert_eq!(JobId::parse(text).is_some(), sound, "{text}");
+    }
+    for (text, sound) in [
+        ("j-1/3", true),
+        ("j-1", false),
+        ("j-1/x", false),
+        ("j-1/-1", false),
+    ] {
+        assert_eq!(TaskId::parse(text).is_some(), sound, "{text}");
+    }
+    for (path, known) in [
+        ("c/job/2/j-7", true),
+        ("c/job/2/j-7/1", true),
+        ("c/part/x", false),
+        ("over/j-7", false),
+    ] {
+        assert_eq!(Key::parse(path).is_some(), known, "{path}");
+    }
+}
+
+#[test]
+fn attempts_are_unique_over_terms_and_stay_below_2_to_53() {
+    let cases = [
+        (1, 0, true),
+        (1, (1 << 21) - 1, true),
+        (1, 1 << 21, false),
+        ((1 << 32) - 1, 5, true),
+        (1 << 32, 0, false),
+    ];
+    for (term, counter, some) in cases {
+        let attempt = Attempt::pack(Term(term), counter);
+        assert_eq!(attempt.is_some(), some, "{term} {counter}");
+        if let Some(a) = attempt {
+            assert!(a.0 < 1 << 53);
+            assert_eq!(a.term(), Term(term));
+        }
+    }
+    assert_ne!(
+        Attempt::pack(Term(1), (1 << 21) - 1),
+        Attempt::pack(Term(2), 0)
+    );
+}
+
+#[test]
+fn any_pattern_of_done_tasks_survives_and_fits_its_value() {
+    type Pattern = fn(u32) -> bool;
+    let patterns: [(&str, Pattern); 6] = [
+        ("none", |_| false),
+        ("all", |_| true),
+        ("every other", |i| i % 2 == 0),
+        ("every third", |i| i % 3 == 1),
+        ("runs", |i| i / 100 % 2 == 0),
+        ("scattered", |i| i.wrapping_mul(2_654_435_761) >> 30 == 0),
+    ];
+    for kb in [4.0, 8.0, 64.0] {
+        let size = chunk_tasks(kb);
+        for tasks in [1, 63, 64, 65, size, size + 1, 100_000] {
+            for (name, pattern) in patterns {
+                let mut set = TaskSet::new();
+                (0..tasks).filter(|&i| pattern(i)).for_each(|i| {
+                    set.insert(i);
+                });
+                let mut back = TaskSet::new();
+                for chunk in 0..tasks.div_ceil(size) {
+                    let done = set.chunk_text(chunk, size);
+                    assert!(back.add_chunk(&done, chunk, size, tasks), "{name} {tasks}");
+                    let json = if chunk == 0 {
+                        let record = JobRecord {
+                            spec: spec(tasks),
+                            at_ms: 1_700_000_000_000,
+                            part: PartId(1),
+                            lent: vec![],
+                            done,
+                        };
+                        serde_json::to_string(&record).unwrap()
+                    } else {
+                        serde_json::to_string(&ChunkRecord { done }).unwrap()
+                    };
+                    assert!(
+                        json.len() as f64 <= kb * 1024.0,
+                        "{name} {tasks}: {}",
+                        json.len()
+                    );
+                }
+                assert!(back.iter().eq(set.iter()), "{name} {tasks}");
+                assert_eq!(back.len(), set.len());
+            }
+        }
+    }
+}
+
+#[test]
+fn malformed_done_sets_are_refused() {
+    for text in ["x", "5-3", "1-", "9", "0-9", "=!", "-1"] {
+        let mut set = TaskSet::new();
+        assert!(!set.add_chunk(text, 0, 64, 8), "{text}");
+    }
+}
+
+#[test]
+fn every_task_belongs_to_exactly_one_part_however_it_is_lent() {
+    let parts = [PartId(0), PartId(1), PartId(2)];
+    let mut record = JobRecord {
+        spec: spec(10),
+        at_ms: 0,
+        part: parts[0],
+        lent: vec![],
+        done: String::new(),
+    };
+    let set = |range: std::ops::Range<u32>| {
+        let mut set = TaskSet::new();
+        range.for_each(|i| {
+            set.insert(i);
+        });
+        set
+    };
+    // (to, zone, tasks, then the shares' sizes)
+    let steps = [
+        (1, None, 0..4, [6, 4, 0]),
+        (2, Some("a"), 2..6, [4, 2, 4]),
+        (1, None, 5..6, [4, 3, 3]),
+        (0, None, 0..10, [10, 0, 0]),
+    ];
+    for (to, zone, tasks, sizes) in steps {
+        record.lend(parts[to], zone, &set(tasks));
+        let shares = parts.map(|p| record.share(p));
+        assert_eq!(shares.clone().map(|s| s.len()), sizes);
+        for i in 0..10 {
+            let owners = shares.iter().filter(|s| s.contains(i)).count();
+            assert_eq!(owners, 1, "task {i}");
+        }
+    }
+    assert!(record.lent.is_empty());
+}
+
+#[test]
+fn bodies_hold_exactly_one_item_and_numbers_of_either_kind() {
+    let good = cbor::encode(&spec(3));
+    assert!(cbor::decode::<JobSpec>(&good).is_ok());
+    let mut trailing = good.clone();
+    trailing.push(0);
+    assert!(cbor::decode::<JobSpec>(&trailing).is_err());
+    for cut in [0, 1, good.len() / 2, good.len() - 1] {
+        assert!(cbor::decode::<JobSpec>(&good[..cut]).is_err(), "{cut}");
+    }
+    for (bytes, value) in [(&b"\x04"[..], 4.0), (b"\xf9\x44\x00", 4.0), (b"\x20", -1.0)] {
+        assert_eq!(cbor::decode::<Amount>(bytes).unwrap(), Amount(value));
+    }
+}
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! The coordinator's role: grants over parts, and the fleet.
 
-use crate::node::{Shared, read};
+use crate::node::Shared;
+use crate::owner::newest_term;
 use pulleywood_core::Config;
 use pulleywood_core::fleet::{self, Action, Kind, Memory, Seen};
 use pulleywood_core::grants::{self, Need, Step};
@@ -122,12 +123,7 @@
         let mine = holder.member == shared.me && holder.boot == shared.boot;
         return Ok(mine.then_some((holder.term, *stamp)));
     }
-    let item = shared.state.get(Class::Owner, TERM)?;
-    let Some((last, term_stamp)) =
-        item.and_then(|i| read::<TermRecord>(Some(&i.value), TERM).map(|r| (r.last, i.stamp)))
-    else {
-        return Ok(None);
-    };
+    let (last, term_stamp) = newest_term(shared)?;
     let term = Term(last.0 + 1);
     let holder = Holder {
         member: shared.me.clone(),
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -95,8 +95,6 @@
     pub parts: BTreeMap<PartId, (Holder, Stamp)>,
     /// Since when a part has had no holder here.
     pub free_since: BTreeMap<PartId, Moment>,
-    /// Parts' last holders.
-    pub last: BTreeMap<PartId, (Holder, Stamp)>,
     /// Parts' grants.
     pub grants: BTreeMap<PartId, (GrantRecord, Stamp)>,
     /// All machines.
@@ -306,11 +304,8 @@
                     self.view.free_since.entry(p).or_insert(now);
                 }
             },
-            Key::Last(p) => {
-                if let Some(holder) = read(value, &path) {
-                    self.view.last.insert(p, (holder, stamp));
-                }
-            }
+            // Read when a part is taken.
+            Key::Last(_) => {}
             Key::Grant(p) => {
                 if let Some(record) = read::<GrantRecord>(value, &path) {
                     self.put_grant(p, record, stamp);
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -236,7 +236,7 @@
 }
 
 /// The newest term and its stamp, read from the store.
-fn newest_term(shared: &Shared) -> Result<(Term, Stamp), StateError> {
+pub fn newest_term(shared: &Shared) -> Result<(Term, Stamp), StateError> {
     let item = shared.state.get(Class::Owner, TERM)?;
     Ok(item
         .and_then(|i| read::<TermRecord>(Some(&i.value), TERM).map(|r| (r.last, i.stamp)))
--- /dev/null
+++ b/crates/pulleywood/tests/settings.rs
@@ -0,0 +1,133 @@
+//! Settings and the policy script: what is wrong is named.
+
+use pulleywood::{policy, settings};
+use pulleywood_core::config::Policy;
+use serde_json::{Value, json};
+use std::process::Command;
+
+fn good() -> Value {
+    json!({
+        "member": "c-0", "domain": "a",
+        "serve_on": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2",
+        "seeds": [{"member": "c-1", "domain": "a", "endpoint": "127.0.0.1:3"}],
+        "services": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+        "cluster": {
+            "initial_size": 2, "zones": ["a"], "new_field": 1,
+            "teams": [{"name": "red", "gpus_max": 4.0}],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 40.0},
+            "state": {"rps": 100.0, "write_rps": 20, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 2.0, "list_lag_s": 5.0},
+            "resources": {"cores": 0.1, "ram_mb": 64.0, "max_sockets": 500}
+        }
+    })
+}
+
+#[test]
+fn wrong_settings_are_named_with_their_path() {
+    assert!(settings::parse(&good().to_string(), "x.json").is_ok());
+    let cases = [
+        ("/serve_on", json!("somewhere"), "serve_on"),
+        ("/seeds/0/endpoint", json!("c-1:80"), "seeds[0].endpoint"),
+        (
+            "/cluster/workers/lease_s",
+            json!(0.0),
+            "cluster.workers.lease_s",
+        ),
+        (
+            "/cluster/state/write_rps",
+            json!(-1.0),
+            "cluster.state.write_rps",
+        ),
+        (
+            "/cluster/state/value_kb",
+            json!(2.0),
+            "cluster.state.value_kb",
+        ),
+        ("/cluster/state/txn_ops", json!(2), "cluster.state.txn_ops"),
+        (
+            "/cluster/teams/0/gpus_max",
+            json!(-4.0),
+            "cluster.teams[0].gpus_max",
+        ),
+        ("/cluster/initial_size", json!(0), "cluster.initial_size"),
+        (
+            "/cluster/resources/max_sockets",
+            json!(3),
+            "cluster.resources.max_sockets",
+        ),
+        ("/cluster/cloud", json!({"rps": 2.0}), "list_lag_s"),
+    ];
+    for (path, value, named) in cases {
+        let mut settings = good();
+        *settings.pointer_mut(path).unwrap() = value;
+        let wrong = settings::parse(&settings.to_string(), "x.json").unwrap_err();
+        let text = wrong.to_string();
+        assert!(
+            text.starts_with("x.json: ") && text.contains(named),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn a_policy_changes_levers_and_nothing_else() {
+    let settings = settings::parse(&good().to_string(), "x.json").unwrap();
+    let defaults = Policy::defaults(&settings);
+    let run = |text: &str| policy::run(text, "p.lua", &settings);
+    assert_eq!(run("return {}").unwrap(), defaults);
+    let policy = run("return { cushion = defaults.cushion * 2, weights = { [teams[1]] = 3 } }");
+    let policy = policy.unwrap();
+    assert_eq!(policy.cushion, defaults.cushion * 2.0);
+    assert_eq!(policy.weights["red"], 3.0);
+    let wrong = [
+        ("return 5", "p.lua"),
+        ("return {", "p.lua"),
+        ("return { speed = 1 }", "speed"),
+        ("return { idle_s = -1 }", "idle_s"),
+        ("return { idle_s = 0/0 }", "idle_s"),
+        ("return { sick_jobs = 1.5 }", "sick_jobs"),
+        ("return { weights = { blue = 1 } }", "weights.blue"),
+        ("return { weights = { red = 0 } }", "weights.red"),
+        ("while true do end", "too long"),
+        ("return { idle_s = #string.rep('x', 1e9) }", "memory"),
+        (
+            "return { idle_s = #io.open('/etc/passwd'):read('a') }",
+            "io",
+        ),
+        ("return os.getenv('HOME')", "os"),
+        ("return load('return {}')()", "load"),
+    ];
+    for (text, named) in wrong {
+        let error = run(text).expect_err(text).to_string();
+        assert!(error.contains(named), "{text}: {error}");
+    }
+}
+
+#[test]
+fn the_command_line_says_what_it_does() {
+    let file = std::env::temp_dir().join(format!("pulleywood-cli-{}.json", std::process::id()));
+    std::fs::write(&file, good().to_string()).unwrap();
+    let name = file.to_str().unwrap();
+    let cases: [(&[&str], i32, &str); 5] = [
+        (&["--version"], 0, "pulleywood 0."),
+        (&["--help"], 0, "--policy"),
+        (&["--check", "--config", name], 0, "can be used"),
+        (
+            &["--check", "--config", "/nowhere.json"],
+            2,
+            "/nowhere.json",
+        ),
+        (&["--config"], 2, "--config"),
+    ];
+    for (args, code, says) in cases {
+        let run = Command::new(env!("CARGO_BIN_EXE_pulleywood"))
+            .args(args)
+            .output()
+            .unwrap();
+        let text = [run.stdout, run.stderr].concat();
+        let text = String::from_utf8_lossy(&text);
+        assert_eq!(run.status.code(), Some(code), "{args:?}: {text}");
+        assert!(text.contains(says), "{args:?}: {text}");
+    }
+    std::fs::remove_file(&file).unwrap();
+}
