--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -24,8 +24,8 @@
     fn reserve(self) -> f64 {
         match self {
             Class::Lease => 0.0,
-            Class::Owner => 0.1,
-            Class::User => 0.2,
+            Class::Owner => 0.05,
+            Class::User => 0.1,
             Class::House => 0.4,
         }
     }
@@ -130,15 +130,15 @@
     #[test]
     fn classes_leave_tokens_to_those_before_them() {
         let cases = [
-            (Class::House, 6),
-            (Class::User, 8),
-            (Class::Owner, 9),
-            (Class::Lease, 10),
+            (Class::House, 12),
+            (Class::User, 18),
+            (Class::Owner, 19),
+            (Class::Lease, 20),
         ];
         for (class, expected) in cases {
-            let budget = Budget::new(10.0, 10.0, 1.0);
+            let budget = Budget::new(20.0, 20.0, 1.0);
             let full = Instant::now() + Duration::from_secs(10);
-            let taken = (0..20)
+            let taken = (0..40)
                 .take_while(|_| budget.take_at(full, class, 1).is_ok())
                 .count();
             assert_eq!(taken, expected, "{class:?}");
