--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const ROUND: Duration = Duration::from_millis(500);
+const ROUND: Duration = Duration::from_millis(1000);
 const ASK_TIME: Duration = Duration::from_secs(3);
 /// Machine types and prices are read again this often.
 const FLAVORS_EVERY: Duration = Duration::from_secs(120);
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -13,7 +13,7 @@
 /// bounds how long workers are answered while out of contact.
 const WAIT: Duration = Duration::from_millis(1000);
 /// Changes gather this long before the next watch: a bound on requests.
-const GATHER: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(150);
 
 /// Runs for the life of the process.
 pub fn run(shared: &Arc<Shared>) {
--- a/crates/pulleywood/src/peers.rs
+++ b/crates/pulleywood/src/peers.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const DIGEST_EVERY: Duration = Duration::from_millis(350);
+const DIGEST_EVERY: Duration = Duration::from_millis(700);
 /// The coordinator names the machines to drain about once a second.
 const DRAIN: Duration = Duration::from_secs(4);
 const ASK_TIME: Duration = Duration::from_millis(1500);
