--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -16,6 +16,8 @@
 
 /// A task stopped for a higher rank makes room in about this many seconds.
 const YIELD_S: f64 = 6.0;
+/// Most tasks of a job that one plan leaves for room which yields.
+const MOST_PASSED: u32 = 64;
 /// A plan is good for this long if nothing changes.
 const PLAN_AGE: Duration = Duration::from_millis(1000);
 
@@ -326,6 +328,7 @@
         }
         let mut all = true;
         let mut warm = None;
+        let mut passed = 0;
         for index in job.waiting.iter() {
             if !self.granted(spec, used, config) {
                 // More room would not help.
@@ -362,6 +365,11 @@
             // So may room that yields to a higher rank.
             if delay > YIELD_S && self.warm_room_yields(sites, job, &zones, index) {
                 all = false;
+                passed += 1;
+                // One job may have very many tasks.
+                if passed > MOST_PASSED {
+                    return false;
+                }
                 continue;
             }
             let Some(site) = sites.get_mut(at) else {
