--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -62,6 +62,10 @@
     pub waiting: TaskSet,
     /// Tasks that run or perhaps run, and where.
     pub active: BTreeMap<u32, (MachineId, Attempt)>,
+    /// The attempt that all tasks of a gang share while any of them is out.
+    pub round: Option<Attempt>,
+    /// A task of the gang's round ended undone: the others will end too.
+    pub broken: bool,
     /// It may have been launched by an earlier owner.
     pub old: bool,
     /// Machines on which it failed since it last succeeded anywhere.
@@ -434,6 +438,8 @@
                     committed: TaskSet::new(),
                     waiting: TaskSet::new(),
                     active: BTreeMap::new(),
+                    round: None,
+                    broken: false,
                     old,
                     failed_on: BTreeSet::new(),
                     failures: 0,
@@ -561,6 +567,10 @@
                 .is_some_and(|(_, a)| *a == attempt)
         {
             job.active.remove(&task.index);
+            job.broken = !job.active.is_empty() && (job.broken || !job.done.contains(task.index));
+            if job.active.is_empty() {
+                job.round = None;
+            }
             job.queue_one(task.index);
         }
     }
@@ -680,6 +690,7 @@
             {
                 let active = (machine.clone(), seen.attempt);
                 job.active.insert(seen.task.index, active);
+                job.round.get_or_insert(seen.attempt);
                 job.waiting.remove(seen.task.index);
                 halt = None;
             }
@@ -820,10 +831,18 @@
             if !job.waiting.contains(task.index) || job.active.contains_key(&task.index) {
                 continue;
             }
-            let Some(attempt) = Attempt::pack(term, self.attempts) else {
-                break;
+            let shared = job.round.filter(|_| job.spec.shape == Shape::Gang);
+            let attempt = match shared {
+                Some(attempt) => attempt,
+                None => {
+                    let Some(attempt) = Attempt::pack(term, self.attempts) else {
+                        break;
+                    };
+                    self.attempts += 1;
+                    job.round = Some(attempt);
+                    attempt
+                }
             };
-            self.attempts += 1;
             job.waiting.remove(task.index);
             job.active.insert(task.index, (id.clone(), attempt));
             machine.slots.push(Slot {
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -322,7 +322,8 @@
                 .filter(|s| s.allows(spec) && !job.failed_on.contains(&s.id))
                 .map(|s| s.free.times(&need))
                 .sum();
-            if room < job.waiting.len() {
+            // Its tasks share an attempt, so none starts again before all are out.
+            if room < job.waiting.len() || job.broken {
                 return false;
             }
         }
--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use pulleywood_wire::worker::{Order, TaskState};
+use pulleywood_wire::worker::{Cause, Order, TaskState};
 use pulleywood_wire::{JobSpec, Rank, Shape};
 
 #[test]
@@ -185,3 +185,52 @@
         assert_eq!(launches(&b.turn(&report, 1.0)).len(), expected);
     }
 }
+
+#[test]
+fn tasks_of_a_gang_share_an_attempt_and_start_again_together() {
+    let mut b = Bench::new(&["a", "a"]);
+    let mut gang = spec(1, 6);
+    gang.shape = Shape::Gang;
+    b.submit(gang, false);
+    for m in 0..2 {
+        let report = b.report(m, 1, vec![]);
+        b.ledger.report(&report, false, at(1.0), &b.config);
+    }
+    // The plan is made anew between the two machines' reports.
+    let mut out = Vec::new();
+    for m in 0..2 {
+        let report = b.report(m, 2, vec![]);
+        out.push(launches(&b.turn(&report, 1.5)));
+        b.ledger.disturb();
+    }
+    let all: Vec<_> = out.concat();
+    assert_eq!(all.len(), 6);
+    assert!(all.iter().all(|(_, a)| *a == all[0].1));
+    // One machine's tasks end undone; they wait until the others are out.
+    let lost = out[0]
+        .iter()
+        .map(|(t, a)| exited(t, *a, Cause::Other))
+        .collect();
+    let report = b.report(0, 3, lost);
+    assert!(launches(&b.turn(&report, 3.0)).is_empty());
+    let rest = out[1]
+        .iter()
+        .map(|(t, a)| exited(t, *a, Cause::Other))
+        .collect();
+    let report = b.report(1, 3, rest);
+    let mut again = launches(&b.turn(&report, 4.0));
+    for seq in 4..7 {
+        for m in 0..2 {
+            let tasks = again
+                .iter()
+                .filter(|(t, _)| b.ledger.jobs[&t.job].active[&t.index].0 == machine(m))
+                .map(|(t, a)| state(t, *a, TaskState::Gathering))
+                .collect();
+            let report = b.report(m, seq, tasks);
+            again.extend(launches(&b.turn(&report, seq as f64)));
+        }
+    }
+    assert_eq!(again.len(), 6);
+    assert!(again.iter().all(|(_, a)| *a == again[0].1));
+    assert_ne!(again[0].1, all[0].1);
+}
