--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -141,6 +141,12 @@
         surely_past(self.lease)
     }
 
+    /// How long done tasks of an unfinished job gather before their record is
+    /// written.
+    pub fn done_age(&self) -> Duration {
+        self.lease * 2
+    }
+
     /// How long after its last contact with the state service an owner may
     /// still answer workers: a cancellation told elsewhere right after that
     /// contact is obeyed in time, since the worker lapses within its lease.
--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -2,17 +2,22 @@
 //! their finished tasks.
 
 use crate::config::Config;
-use crate::ledger::{Job, PartLedger};
+use crate::ledger::{Job, PartLedger, SlotState};
 use crate::room::Room;
 use pulleywood_wire::job::JobStatus;
 use pulleywood_wire::record::{ChunkRecord, OverRecord, chunk_key, job_key, over_key, part_key};
 use pulleywood_wire::state::Commit;
-use pulleywood_wire::{JobId, Stamp};
+use pulleywood_wire::{JobId, Moment, Stamp};
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// Bytes of values in one batch; a transaction holds 64 KiB in all.
 const MAX_BYTES: usize = 40 * 1024;
 
+/// Done tasks on a machine that holds nothing else for this long are recorded,
+/// as the machine can be let go only without them.
+const IDLE: Duration = Duration::from_secs(8);
+
 /// One transaction of done tasks, with what it stands for.
 #[derive(Debug)]
 pub struct Batch {
@@ -36,14 +41,79 @@
     pub over: bool,
 }
 
+/// How much a job's done tasks want to be recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    /// Its user waits to hear that it is done, or other parts wait for this
+    /// part's share of it.
+    Now,
+    /// Its done tasks have waited long enough.
+    Aged,
+}
+
+impl Job {
+    fn over(&self) -> bool {
+        self.spec.shape.completes() && self.done.len() >= self.spec.tasks
+    }
+
+    /// One write of a record costs the same for one done task as for all of
+    /// them, and a task whose result is lost with its machine exits as done at
+    /// once when it is started again. So tasks gather until the job, or this
+    /// part's share of it, is done, or the first of them has aged.
+    fn due(&self, now: Moment, config: &Config) -> Option<Due> {
+        if self.over() || self.touch {
+            return Some(Due::Now);
+        }
+        if self.done.len() == self.committed.len() {
+            return None;
+        }
+        if self.mine.iter().all(|i| self.done.contains(i)) {
+            return Some(Due::Now);
+        }
+        let aged = self
+            .done_since
+            .is_none_or(|at| now.since(at) >= config.done_age());
+        aged.then_some(Due::Aged)
+    }
+}
+
 impl PartLedger {
+    /// Jobs whose done tasks are to be recorded, most urgent first.
+    fn due(&self, now: Moment, config: &Config) -> Vec<(Due, &JobId)> {
+        let mut due: Vec<(Due, &JobId)> = self
+            .dirty_jobs
+            .iter()
+            .filter_map(|id| Some((self.jobs.get(id)?.due(now, config)?, id)))
+            .collect();
+        due.sort();
+        due
+    }
+
+    /// Done tasks of machines that will be gone, or are to be let go, are
+    /// recorded at once.
+    pub(crate) fn hurry_done(&mut self, now: Moment) {
+        for machine in self.machines.values() {
+            let idle = machine.idle_since.is_some_and(|at| now.since(at) >= IDLE);
+            if machine.slots.is_empty() || (machine.taken_at.is_none() && !idle) {
+                continue;
+            }
+            for slot in &machine.slots {
+                if slot.state == (SlotState::Exited { done: true })
+                    && let Some(job) = self.jobs.get_mut(&slot.task.job)
+                {
+                    job.done_since = None;
+                }
+            }
+        }
+    }
+
     /// The next batch, conditioned on the part's stamp and on every key it
     /// changes.
-    pub fn batch(&self, part_stamp: Stamp, config: &Config) -> Option<Batch> {
+    pub fn batch(&self, part_stamp: Stamp, now: Moment, config: &Config) -> Option<Batch> {
         let mut commit = Commit::default().when(part_key(self.part), part_stamp);
         let mut jobs = Vec::new();
         let mut bytes = 0;
-        for id in &self.dirty_jobs {
+        for (_, id) in self.due(now, config) {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
@@ -52,10 +122,7 @@
                 .iter()
                 .filter(|&i| !job.committed.contains(i))
                 .collect();
-            let over = job.spec.shape.completes() && job.done.len() >= job.spec.tasks;
-            if tasks.is_empty() && !over && !job.touch {
-                continue;
-            }
+            let over = job.over();
             let mut chunks: BTreeSet<u32> = tasks.iter().map(|i| i / config.chunk).collect();
             if job.touch {
                 chunks.insert(0);
@@ -131,19 +198,16 @@
             }
             if job.done.len() == job.committed.len() && job.done.len() < job.spec.tasks {
                 self.dirty_jobs.remove(&done.id);
+                job.done_since = None;
             }
         }
     }
 
-    /// Anything is to be committed.
-    pub fn has_batch(&self) -> bool {
-        self.dirty_jobs.iter().any(|id| {
-            self.jobs.get(id).is_some_and(|job| {
-                job.touch
-                    || job.done.len() > job.committed.len()
-                    || (job.spec.shape.completes() && job.done.len() >= job.spec.tasks)
-            })
-        })
+    /// Whether a job's end, or this part's share of it, waits to be recorded:
+    /// what its user wants to hear. Nothing if there is nothing to record.
+    pub fn has_batch(&self, now: Moment, config: &Config) -> Option<bool> {
+        let due = self.due(now, config);
+        Some(due.first()?.0 == Due::Now)
     }
 }
 
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -58,6 +58,8 @@
     pub done: TaskSet,
     /// Done tasks as committed.
     pub committed: TaskSet,
+    /// Since when one of them waits for that; none: it is to be done at once.
+    pub done_since: Option<Moment>,
     /// Tasks to launch.
     pub waiting: TaskSet,
     /// Tasks that run or perhaps run, and where.
@@ -385,13 +387,18 @@
     /// launched it.
     pub fn put_job(
         &mut self,
-        record: JobRecord,
+        record: &JobRecord,
         stamp: Stamp,
         old: bool,
         now: Moment,
         config: &Config,
     ) {
         let id = record.spec.id.clone();
+        // Most records are of other parts.
+        let ours = record.part == self.part || record.lent.iter().any(|l| l.part == self.part);
+        if !ours && !self.jobs.contains_key(&id) {
+            return;
+        }
         let tasks = record.spec.tasks;
         let mut done = TaskSet::new();
         if !done.add_chunk(&record.done, 0, config.chunk, tasks) {
@@ -400,7 +407,7 @@
             done = TaskSet::new();
         }
         let mine = record.share(self.part);
-        let (bound, away) = bindings(&record, self.part);
+        let (bound, away) = bindings(record, self.part);
         match self.jobs.get_mut(&id) {
             // Nothing new, as after a batch of this owner's own.
             Some(job) if stamp <= job.stamp => return,
@@ -410,7 +417,7 @@
                     job.touch = false;
                 }
                 job.stamp = stamp;
-                job.lent = record.lent;
+                job.lent.clone_from(&record.lent);
                 job.mine = mine;
                 (job.bound, job.away) = (bound, away);
                 merge(job, &done);
@@ -422,12 +429,12 @@
             None if mine.is_empty() => return,
             None => {
                 let mut job = Job {
-                    spec: Arc::new(record.spec),
+                    spec: Arc::new(record.spec.clone()),
                     at_ms: record.at_ms,
                     stamp,
                     chunk_stamps: BTreeMap::new(),
                     home: record.part,
-                    lent: record.lent,
+                    lent: record.lent.clone(),
                     mine,
                     offered: TaskSet::new(),
                     offered_zone: None,
@@ -436,6 +443,7 @@
                     touch: false,
                     done: TaskSet::new(),
                     committed: TaskSet::new(),
+                    done_since: None,
                     waiting: TaskSet::new(),
                     active: BTreeMap::new(),
                     round: None,
@@ -760,6 +768,9 @@
                     // A replica that ends by itself is started again.
                     if job.spec.shape.completes() && task.index < job.spec.tasks {
                         job.waiting.remove(task.index);
+                        if job.done.len() == job.committed.len() {
+                            job.done_since = Some(now);
+                        }
                         if job.done.insert(task.index) {
                             self.dirty_jobs.insert(task.job.clone());
                         }
@@ -910,6 +921,7 @@
         if changed {
             self.disturb();
         }
+        self.hurry_done(now);
     }
 
     /// Whether any unheard machine may still run a task of this job.
--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -11,10 +11,14 @@
 pub enum Class {
     /// Lease renewals.
     Lease,
-    /// Fences, take-overs and done batches.
+    /// Fences, take-overs and machines' records.
     Owner,
     /// Users' requests.
     User,
+    /// Jobs that are done: their users ask for it some seconds later.
+    Done,
+    /// Users' submissions of work that others come before.
+    Later,
     /// Everything that can wait.
     House,
 }
@@ -26,6 +30,8 @@
             Class::Lease => 0.0,
             Class::Owner => 0.05,
             Class::User => 0.1,
+            Class::Done => 0.25,
+            Class::Later => 0.3,
             Class::House => 0.4,
         }
     }
@@ -131,6 +137,8 @@
     fn classes_leave_tokens_to_those_before_them() {
         let cases = [
             (Class::House, 12),
+            (Class::Later, 14),
+            (Class::Done, 15),
             (Class::User, 18),
             (Class::Owner, 19),
             (Class::Lease, 20),
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -62,7 +62,7 @@
     pub fn new(addr: SocketAddr, budget: Budget) -> Self {
         Self {
             calls: Client::new(addr, 8),
-            watch: Client::new(addr, 1),
+            watch: Client::new(addr, 2),
             budget,
             started: Instant::now(),
             last_ok: AtomicU64::new(0),
@@ -91,8 +91,8 @@
     fn take(&self, class: Class, writes: u32) -> Result<(), StateError> {
         let patience = match class {
             Class::Lease | Class::Owner => Duration::from_secs(3),
-            Class::User => Duration::ZERO,
-            Class::House => Duration::from_secs(1),
+            Class::User | Class::Later => Duration::ZERO,
+            Class::Done | Class::House => Duration::from_secs(1),
         };
         let end = Instant::now() + patience;
         loop {
@@ -251,7 +251,7 @@
             "GET",
             &path,
             None,
-            wait + Duration::from_secs(3),
+            wait + CALL_TIME,
         )?;
         if answer.status == 410 {
             return Err(StateError::TooOld);
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -1,6 +1,7 @@
 //! One controller, assembled.
 
 use crate::clock::Clock;
+use crate::follow::Reads;
 use crate::node::{Finals, Node, Shared};
 use crate::{coordinator, follow, owner, peers, users, workers};
 use parking_lot::{Condvar, Mutex};
@@ -89,6 +90,7 @@
             peers,
             node: Mutex::new(Node::new(config)),
             bell: Condvar::new(),
+            reads: Reads::default(),
             finals: Mutex::new(Finals::default()),
             settings,
         });
@@ -107,8 +109,9 @@
         let serve_on = address(&shared.settings.serve_on)?;
         let serve_on =
             server::serve(serve_on, most, Front(Arc::clone(&shared))).map_err(io("serve_on"))?;
-        let threads: [(&str, Body); 5] = [
+        let threads: [(&str, Body); 6] = [
             ("follow", follow::run),
+            ("read", follow::read_for_users),
             ("renew", owner::renew),
             ("parts", owner::hold_parts),
             ("flush", owner::flush),
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -2,12 +2,14 @@
 //! owner hears of new and cancelled jobs.
 
 use crate::node::{Shared, View};
+use parking_lot::{Condvar, Mutex};
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::PartId;
-use pulleywood_wire::record::LIVE;
+use pulleywood_wire::record::{LIVE, job_key, machine_key};
 use pulleywood_wire::state::{Event, Item};
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long one watch waits. Its return proves how new the view is, which
 /// bounds how long workers are answered while out of contact.
@@ -15,39 +17,134 @@
 /// Changes gather this long before the next watch: a bound on requests.
 const GATHER: Duration = Duration::from_millis(150);
 
-/// Runs for the life of the process.
-pub fn run(shared: &Arc<Shared>) {
+/// Least time between two reads made for users' questions: those that come
+/// meanwhile share the next one.
+const READ_GAP: Duration = Duration::from_millis(100);
+/// A question waits this long for the read that it shares.
+const READ_TIME: Duration = Duration::from_millis(1700);
+
+/// Questions of users that wait for a read begun after they came. Each read
+/// answers all of them, however many: when every user asked about every job
+/// after an outage, a read for each question used up the state service's rate,
+/// and some jobs were not answered about for long.
+#[derive(Default)]
+pub struct Reads {
+    tickets: Mutex<Tickets>,
+    asked: Condvar,
+    answered: Condvar,
+}
+
+#[derive(Default)]
+struct Tickets {
+    /// The newest question's number.
+    asked: u64,
+    /// Questions up to this one have had their read.
+    served: u64,
+    /// Questions up to this one and after `served` had a read that failed.
+    failed: u64,
+    /// How long to stay away, if tokens were short.
+    wait: Option<Duration>,
+}
+
+impl Reads {
+    /// Waits until the view is surely newer than this call.
+    pub fn fresh(&self) -> Result<(), StateError> {
+        let end = Instant::now() + READ_TIME;
+        let mut tickets = self.tickets.lock();
+        tickets.asked += 1;
+        let mine = tickets.asked;
+        self.asked.notify_one();
+        loop {
+            if tickets.served >= mine {
+                return Ok(());
+            }
+            if tickets.failed >= mine {
+                return Err(match tickets.wait {
+                    Some(wait) => StateError::Budget(wait),
+                    None => StateError::Refused(503),
+                });
+            }
+            if self
+                .answered
+                .wait_until(&mut tickets, end)
+                .timed_out()
+            {
+                return Err(StateError::Unknown("no read in time".into()));
+            }
+        }
+    }
+}
+
+/// Reads what changed, whenever users ask; runs for the life of the process.
+pub fn read_for_users(shared: &Arc<Shared>) {
+    let reads = &shared.reads;
     loop {
-        let from = {
-            let node = shared.node.lock();
-            node.viewed.then_some(node.view.ledger)
-        };
-        let sent = shared.clock.now();
-        let result = match from {
-            None => reread(shared),
-            Some(from) => shared
-                .state
-                .follow(Class::Owner, LIVE, from, WAIT)
-                .map(|answer| {
-                    let now = shared.clock.now();
-                    let changed = !answer.events.is_empty();
-                    let mut node = shared.node.lock();
-                    for event in answer.events {
-                        node.event(event, now);
-                    }
-                    node.view.ledger = node.view.ledger.max(answer.ledger);
-                    node.caught_up = node.caught_up.max(sent);
-                    drop(node);
-                    if changed {
-                        shared.bell.notify_all();
-                        std::thread::sleep(GATHER);
-                    }
-                }),
+        let upto = {
+            let mut tickets = reads.tickets.lock();
+            while tickets.asked <= tickets.served.max(tickets.failed) {
+                reads.asked.wait(&mut tickets);
+            }
+            tickets.asked
         };
+        let result = changes(shared, Class::User, Duration::ZERO);
+        let mut tickets = reads.tickets.lock();
         match result {
-            Ok(()) => {}
+            Ok(_) => tickets.served = tickets.served.max(upto),
+            Err(e) => {
+                log::debug!("reading for users: {e}");
+                tickets.failed = upto;
+                tickets.wait = match e {
+                    StateError::Budget(wait) => Some(wait),
+                    _ => None,
+                };
+            }
+        }
+        drop(tickets);
+        reads.answered.notify_all();
+        std::thread::sleep(READ_GAP);
+    }
+}
+
+/// Brings the view up to a moment after this call; whether anything changed.
+fn changes(shared: &Arc<Shared>, class: Class, wait: Duration) -> Result<bool, StateError> {
+    let from = {
+        let node = shared.node.lock();
+        if !node.viewed {
+            return Err(StateError::TooOld);
+        }
+        node.view.ledger
+    };
+    let sent = shared.clock.now();
+    let answer = shared.state.follow(class, LIVE, from, wait)?;
+    let now = shared.clock.now();
+    let mut node = shared.node.lock();
+    // Another read may have brought some of them already. Taken again, an
+    // older write would bring back what a newer one deleted.
+    let known = node.view.ledger;
+    let mut changed = false;
+    for event in answer.events {
+        if event.stamp.0 > known {
+            changed = true;
+            node.event(event, now);
+        }
+    }
+    node.view.ledger = known.max(answer.ledger);
+    node.caught_up = node.caught_up.max(sent);
+    drop(node);
+    if changed {
+        shared.bell.notify_all();
+    }
+    Ok(changed)
+}
+
+/// Runs for the life of the process.
+pub fn run(shared: &Arc<Shared>) {
+    loop {
+        match changes(shared, Class::Owner, WAIT) {
+            Ok(true) => std::thread::sleep(GATHER),
+            Ok(false) => {}
             Err(StateError::TooOld) => {
-                log::info!("the watch fell too far behind: reading everything again");
+                log::info!("reading everything");
                 if let Err(e) = reread(shared) {
                     log::debug!("cannot read: {e}");
                     std::thread::sleep(Duration::from_millis(500));
@@ -61,7 +158,7 @@
     }
 }
 
-/// Reads all watched keys but jobs, which owners read by part.
+/// Reads all watched keys.
 fn reread(shared: &Arc<Shared>) -> Result<(), StateError> {
     let sent = shared.clock.now();
     let (items, ledger) = shared.state.list(Class::Owner, LIVE)?;
@@ -74,25 +171,16 @@
         ..View::default()
     };
     // Jobs and machines that are gone since are missing from the list.
-    let listed = |path: &str| items.iter().any(|i| i.path == path);
-    let mut gone = Vec::new();
-    for (part, owned) in &node.owned {
-        if !owned.loaded {
-            continue;
-        }
-        for id in owned.ledger.jobs.keys() {
-            let path = pulleywood_wire::record::job_key(*part, id);
-            if !listed(&path) {
-                gone.push(path);
-            }
-        }
-        for id in owned.ledger.machines.keys() {
-            let path = pulleywood_wire::record::machine_key(id);
-            if !listed(&path) {
-                gone.push(path);
-            }
-        }
-    }
+    let listed: BTreeSet<&str> = items.iter().map(|i| i.path.as_str()).collect();
+    let parts = node.config.parts;
+    let held = node.owned.values().filter(|o| o.loaded);
+    let gone: BTreeSet<String> = held
+        .flat_map(|o| {
+            let jobs = o.ledger.jobs.keys().map(|id| job_key(id.part(parts), id));
+            jobs.chain(o.ledger.machines.keys().map(machine_key))
+        })
+        .filter(|path| !listed.contains(path.as_str()))
+        .collect();
     for path in gone {
         let event = Event {
             write: None,
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -1,13 +1,15 @@
 //! What one controller knows, behind one short lock.
 
 use crate::clock::Clock;
+use crate::follow::Reads;
 use parking_lot::{Condvar, Mutex};
 use pulleywood_core::{Config, PartLedger};
 use pulleywood_net::peer::PeerClient;
 use pulleywood_net::{CloudClient, StateClient};
 use pulleywood_wire::peer::{Digest, PartDigest};
 use pulleywood_wire::record::{
-    GrantRecord, Holder, JobRecord, Key, Layout, MachineRecord, OverRecord, TermRecord,
+    ChunkRecord, GrantRecord, Holder, JobRecord, Key, Layout, MachineRecord, OverRecord, TaskSet,
+    TermRecord,
 };
 use pulleywood_wire::settings::Settings;
 use pulleywood_wire::state::Event;
@@ -39,6 +41,8 @@
     pub node: Mutex<Node>,
     /// Rung when the owner's threads have something to do.
     pub bell: Condvar,
+    /// Users' questions that wait for a read.
+    pub reads: Reads,
     /// Final states told or read, kept for later polls.
     pub finals: Mutex<Finals>,
 }
@@ -99,6 +103,8 @@
     pub grants: BTreeMap<PartId, (GrantRecord, Stamp)>,
     /// All machines.
     pub machines: BTreeMap<MachineId, (MachineRecord, Stamp)>,
+    /// All live jobs, with how many of their tasks are recorded as done.
+    pub jobs: BTreeMap<JobId, u32>,
 }
 
 /// A part this controller holds.
@@ -109,8 +115,8 @@
     pub stamp: Stamp,
     /// Read in full; until then events are kept back.
     pub loaded: bool,
-    /// Events that came while it was being read.
-    pub held: Vec<Event>,
+    /// Changes of jobs that came while it was being read.
+    pub held: Vec<(JobId, JobEntry, Stamp)>,
     /// Being handed to another controller: nothing is launched.
     pub leaving: bool,
     /// The holder before, and when this process took over.
@@ -322,11 +328,29 @@
             },
             Key::Job(_, id, chunk) => {
                 let config = Arc::clone(&self.config);
+                let entry: Option<JobEntry> = match (value, chunk) {
+                    (None, 0) => Some(JobEntry::Gone),
+                    (None, _) => None,
+                    (Some(_), 0) => read(value, &path).map(JobEntry::Record),
+                    (Some(_), n) => read(value, &path).map(|r| JobEntry::Chunk(n, r)),
+                };
+                let Some(entry) = entry else { return };
+                match &entry {
+                    JobEntry::Gone => {
+                        self.view.jobs.remove(&id);
+                    }
+                    JobEntry::Record(record) => {
+                        let mut done = TaskSet::new();
+                        done.add_chunk(&record.done, 0, config.chunk, record.spec.tasks);
+                        self.view.jobs.insert(id.clone(), done.len());
+                    }
+                    JobEntry::Chunk(..) => {}
+                }
                 for owned in self.owned.values_mut() {
                     if owned.loaded {
-                        owned.job_event(&path, &id, chunk, value, stamp, false, now, &config);
+                        owned.job_event(&id, &entry, stamp, false, now, &config);
                     } else {
-                        owned.held.push(event.clone());
+                        owned.held.push((id.clone(), entry.clone(), stamp));
                     }
                 }
             }
@@ -373,7 +397,6 @@
     pub fn put_job(&mut self, record: &JobRecord, stamp: Stamp, now: Moment) {
         let config = Arc::clone(&self.config);
         if let Some(owned) = self.owned.get_mut(&record.part).filter(|o| o.loaded) {
-            let record = record.clone();
             owned.ledger.put_job(record, stamp, false, now, &config);
         }
     }
@@ -437,40 +460,36 @@
     }
 }
 
+/// What became of a job's key.
+#[derive(Debug, Clone)]
+pub enum JobEntry {
+    /// The live record.
+    Record(JobRecord),
+    /// A continuation.
+    Chunk(u32, ChunkRecord),
+    /// The job is over.
+    Gone,
+}
+
 impl Owned {
     /// A job's key changed. `old`: an earlier owner may have launched it.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "one call site passes an event taken apart"
-    )]
     pub fn job_event(
         &mut self,
-        path: &str,
         id: &JobId,
-        chunk: u32,
-        value: Option<&cbor::Value>,
+        entry: &JobEntry,
         stamp: Stamp,
         old: bool,
         now: Moment,
         config: &Config,
     ) {
-        match (value, chunk) {
-            (Some(_), 0) => {
-                if let Some(record) = read::<JobRecord>(value, path) {
-                    self.ledger.put_job(record, stamp, old, now, config);
-                }
-            }
-            (Some(_), chunk) => {
-                if let Some(record) = read(value, path) {
-                    self.ledger.put_chunk(id, chunk, &record, stamp, config);
-                }
-            }
-            (None, 0) => {
+        match entry {
+            JobEntry::Record(record) => self.ledger.put_job(record, stamp, old, now, config),
+            JobEntry::Chunk(n, record) => self.ledger.put_chunk(id, *n, record, stamp, config),
+            JobEntry::Gone => {
                 if self.ledger.jobs.get(id).is_some_and(|j| j.stamp < stamp) {
                     self.ledger.drop_job(id);
                 }
             }
-            (None, _) => {}
         }
     }
 }
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -1,7 +1,7 @@
 //! Leases, parts and done batches: what makes this controller an owner.
 
 use crate::clock::time_of_day_ms;
-use crate::node::{Node, Owned, Shared, read};
+use crate::node::{JobEntry, Node, Owned, Shared, read};
 use hdrhistogram::Histogram;
 use pulleywood_core::ledger::{Offer, Started};
 use pulleywood_core::{PartLedger, grants};
@@ -12,7 +12,7 @@
     Holder, JOBS, Key, LAYOUT, Layout, TERM, TermRecord, grant_key, job_key, last_key, machine_key,
     part_key,
 };
-use pulleywood_wire::state::Commit;
+use pulleywood_wire::state::{Commit, Item};
 use pulleywood_wire::worker::Direct;
 use pulleywood_wire::{JobId, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term};
 use std::collections::BTreeMap;
@@ -380,23 +380,15 @@
         }
         // Continuations sort after their job's record.
         for item in &jobs.0 {
-            if let Some(Key::Job(_, id, chunk)) = Key::parse(&item.path) {
-                owned.job_event(
-                    &item.path,
-                    &id,
-                    chunk,
-                    Some(&item.value),
-                    item.stamp,
-                    true,
-                    now,
-                    &config,
-                );
+            if let Some((id, entry)) = job_entry(item) {
+                owned.job_event(&id, &entry, item.stamp, true, now, &config);
             }
         }
         owned.loaded = true;
-        let held = std::mem::take(&mut owned.held);
-        for event in held.into_iter().filter(|e| e.stamp.0 > jobs.1) {
-            node.event(event, now);
+        for (id, entry, stamp) in std::mem::take(&mut owned.held) {
+            if stamp.0 > jobs.1 {
+                owned.job_event(&id, &entry, stamp, false, now, &config);
+            }
         }
         log::info!(
             "part {part}: {} jobs, {} machines",
@@ -408,6 +400,19 @@
     Ok(())
 }
 
+/// A job's record or continuation, as listed.
+fn job_entry(item: &Item) -> Option<(JobId, JobEntry)> {
+    let Key::Job(_, id, chunk) = Key::parse(&item.path)? else {
+        return None;
+    };
+    let value = Some(&item.value);
+    let entry = match chunk {
+        0 => JobEntry::Record(read(value, &item.path)?),
+        n => JobEntry::Chunk(n, read(value, &item.path)?),
+    };
+    Some((id, entry))
+}
+
 /// Sends each machine the new term by an empty direct command, a few at a
 /// time: its reply is its report, and it then reports by itself.
 fn greet(shared: &Arc<Shared>, part: PartId, machines: Vec<(MachineId, String)>) {
@@ -591,7 +596,7 @@
     loop {
         std::thread::sleep(Duration::from_millis(200));
         let now = shared.clock.now();
-        let parts: Vec<PartId> = {
+        let parts: Vec<(PartId, bool)> = {
             let mut node = shared.node.lock();
             let config = Arc::clone(&node.config);
             for owned in node.owned.values_mut().filter(|o| o.loaded) {
@@ -604,12 +609,13 @@
             }
             node.owned
                 .iter()
-                .filter(|(_, o)| o.loaded && o.ledger.has_batch())
-                .map(|(p, _)| *p)
+                .filter(|(_, o)| o.loaded)
+                .filter_map(|(p, o)| Some((*p, o.ledger.has_batch(now, &node.config)?)))
                 .collect()
         };
-        for part in parts {
-            flush_part(shared, part, now);
+        for (part, urgent) in parts {
+            let class = if urgent { Class::Done } else { Class::House };
+            flush_part(shared, part, class, now);
         }
         if now.since(images_at) >= IMAGES_EVERY {
             images_at = now;
@@ -657,19 +663,19 @@
     }
 }
 
-fn flush_part(shared: &Arc<Shared>, part: PartId, now: Moment) {
+fn flush_part(shared: &Arc<Shared>, part: PartId, class: Class, now: Moment) {
     let batch = {
         let node = shared.node.lock();
         let config = &node.config;
         node.owned
             .get(&part)
             .filter(|_| node.may_act(now))
-            .and_then(|o| Some((o.ledger.batch(o.stamp, config)?, o.stamp)))
+            .and_then(|o| Some((o.ledger.batch(o.stamp, now, config)?, o.stamp)))
     };
     let Some((batch, part_stamp)) = batch else {
         return;
     };
-    match shared.state.commit(Class::Owner, &batch.commit) {
+    match shared.state.commit(class, &batch.commit) {
         Ok(Outcome::Applied(stamp)) => {
             let mut node = shared.node.lock();
             if let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) {
@@ -712,20 +718,11 @@
     };
     let mut live = false;
     for item in &items {
-        if let Some(Key::Job(_, job, chunk)) = Key::parse(&item.path)
+        if let Some((job, entry)) = job_entry(item)
             && job == *id
         {
             live = true;
-            owned.job_event(
-                &item.path,
-                id,
-                chunk,
-                Some(&item.value),
-                item.stamp,
-                false,
-                now,
-                &config,
-            );
+            owned.job_event(id, &entry, item.stamp, false, now, &config);
         }
     }
     if !live {
@@ -775,7 +772,7 @@
                 for owned in node.owned.values_mut().filter(|o| o.loaded) {
                     owned
                         .ledger
-                        .put_job(record.clone(), stamp, false, now, &config);
+                        .put_job(&record, stamp, false, now, &config);
                 }
                 lent = true;
             }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -15,7 +15,7 @@
     ChunkRecord, JobRecord, Key, OverRecord, TaskSet, job_key, over_key,
 };
 use pulleywood_wire::state::Commit;
-use pulleywood_wire::{JobId, JobSpec, JobStatus, Moment, PartId, Stamp, cbor};
+use pulleywood_wire::{JobId, JobSpec, JobStatus, Moment, PartId, Rank, Stamp, cbor};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,14 +51,23 @@
     {
         return Ok(Stored::Live(Box::new(record), item.stamp));
     }
+    Ok(match over(shared, id)? {
+        Some(over) => Stored::Over(over),
+        None => Stored::Unknown,
+    })
+}
+
+/// A job's final state, if it has one.
+fn over(shared: &Shared, id: &JobId) -> Result<Option<OverRecord>, StateError> {
     let key = over_key(id);
-    if let Some(item) = shared.state.get(Class::User, &key)?
-        && let Some(over) = read::<OverRecord>(Some(&item.value), &key)
-    {
+    let Some(item) = shared.state.get(Class::User, &key)? else {
+        return Ok(None);
+    };
+    let over: Option<OverRecord> = read(Some(&item.value), &key);
+    if let Some(over) = &over {
         shared.finals.lock().put(id, over.clone());
-        return Ok(Stored::Over(over));
     }
-    Ok(Stored::Unknown)
+    Ok(over)
 }
 
 fn answer(shared: &Shared, id: &JobId, stored: &Stored) -> Response {
@@ -74,38 +83,25 @@
             },
         ),
         Stored::Live(record, _) => {
-            let (done, running) = progress(shared, id, record);
-            let status = if running > 0 {
-                JobStatus::Running
-            } else {
-                JobStatus::Queued
-            };
-            Response::cbor(
-                200,
-                &JobAnswer {
-                    uid: id.clone(),
-                    status,
-                    done,
-                    running,
-                },
-            )
+            let mut done = TaskSet::new();
+            let chunk = shared.node.lock().config.chunk;
+            done.add_chunk(&record.done, 0, chunk, record.spec.tasks);
+            progress(shared, id, done.len())
         }
     }
 }
 
-/// Tasks done and running, for display: the owner's count where it is here or
-/// in a digest, else the stored one.
-fn progress(shared: &Shared, id: &JobId, record: &JobRecord) -> (u32, u32) {
+/// A live job's answer, with tasks done and running for display: its owners'
+/// counts where they are here or in digests, else the recorded one.
+fn progress(shared: &Shared, id: &JobId, recorded: u32) -> Response {
     let now = shared.clock.now();
     let node = shared.node.lock();
-    let mut done = TaskSet::new();
-    done.add_chunk(&record.done, 0, node.config.chunk, record.spec.tasks);
-    let mut done = done.len();
+    let mut done = recorded;
     let mut running = 0;
     for owned in node.owned.values() {
         running += owned.ledger.running(id);
         if let Some(job) = owned.ledger.jobs.get(id) {
-            done = done.max(job.committed.len());
+            done = done.max(job.done.len());
         }
     }
     running += node
@@ -118,7 +114,21 @@
         .filter(|(job, _)| job == id)
         .map(|(_, n)| *n)
         .sum::<u32>();
-    (done, running)
+    drop(node);
+    let status = if running > 0 {
+        JobStatus::Running
+    } else {
+        JobStatus::Queued
+    };
+    Response::cbor(
+        200,
+        &JobAnswer {
+            uid: id.clone(),
+            status,
+            done,
+            running,
+        },
+    )
 }
 
 /// `POST /v2/runs`
@@ -167,7 +177,12 @@
         .when(key.clone(), Stamp(0))
         .when(over_key(&id), Stamp(0))
         .write(key, &record);
-    match shared.state.commit(Class::User, &commit) {
+    // At a burst, work that others come before leaves them the tokens.
+    let class = match record.spec.rank {
+        Rank::Production | Rank::Urgent => Class::User,
+        Rank::Standard | Rank::Idle => Class::Later,
+    };
+    match shared.state.commit(class, &commit) {
         Ok(Outcome::Applied(stamp)) => {
             let now: Moment = shared.clock.now();
             shared.node.lock().put_job(&record, stamp, now);
@@ -204,12 +219,22 @@
     let Some(id) = JobId::parse(id) else {
         return Response::status(404);
     };
-    let Some(parts) = layout(shared) else {
-        return Response::later(503, 1);
-    };
-    let part = id.part(parts);
-    match lookup(shared, part, &id) {
-        Ok(stored) => answer(shared, &id, &stored),
+    if let Some(over) = shared.finals.lock().get(&id) {
+        return answer(shared, &id, &Stored::Over(over));
+    }
+    // Another controller may have told its user more than this one has seen:
+    // what is not final rests on a read begun after the question came.
+    if let Err(e) = shared.reads.fresh() {
+        return later(&e);
+    }
+    let live = shared.node.lock().view.jobs.get(&id).copied();
+    if let Some(done) = live {
+        return progress(shared, &id, done);
+    }
+    // Not live at that read: if it is not over now, it was not known then.
+    match over(shared, &id) {
+        Ok(Some(over)) => answer(shared, &id, &Stored::Over(over)),
+        Ok(None) => Response::status(404),
         Err(e) => later(&e),
     }
 }
@@ -305,6 +330,7 @@
     if started && !alone {
         Response::status(200)
     } else {
+        log::debug!("not ready: started {started}, alone {alone}");
         Response::later(503, 1)
     }
 }
