Spend writes on what users wait for; fence late digests and chained take-overs

Five controllers each kept a fifth of the tokens: refused users come back to whoever has the fewest open connections, which is who refuses most, while four fifths lay unused; all 105 machines were taken in by the first owner alone (22 s); 72,000 questions cost a read each. Excluded: processor (7% of a share of 24%), memory (17 MB).

--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -152,8 +152,12 @@
                     .get(&m.record.flavor)
                     .map(Room::of_flavor)
                     .unwrap_or_default();
-                let usable =
-                    m.confirmed && !m.leaving && !m.unfit && !m.drains(now) && m.taken_at.is_none();
+                let usable = m.confirmed
+                    && !m.is_deaf(now, config)
+                    && !m.leaving
+                    && !m.unfit
+                    && !m.drains(now)
+                    && m.taken_at.is_none();
                 let free = if usable && !m.has_foreign() {
                     m.free(whole)
                 } else {
@@ -169,6 +173,7 @@
                         _ => -1.0,
                     },
                     silent_s: m.answered.map_or(-1.0, |at| now.since(at).as_secs_f64()),
+                    lost_s: now.since(m.lost_since).as_secs_f64(),
                     unfit: m.unfit || m.taken_at.is_some(),
                     pinned: m.pinned().share_of(&whole),
                     held: m.held(),
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -52,6 +52,8 @@
     moved: BTreeMap<MachineId, Moment>,
     /// Machines being emptied.
     draining: BTreeSet<MachineId>,
+    /// When a machine that was out of touch was last replaced.
+    replaced: Option<Moment>,
 }
 
 impl Memory {
@@ -113,6 +115,9 @@
     pub parts: &'a BTreeMap<PartId, PartDigest>,
     /// The newest machine list, if one came lately.
     pub list: Option<&'a [Rental]>,
+    /// There is more work than the digests show: no machine is emptied or
+    /// given back.
+    pub hold: bool,
 }
 
 /// The fleet in one line, for logs.
@@ -450,8 +455,12 @@
     for (kind, count) in hires {
         actions.push(Action::Hire(kind, count));
     }
-    actions.extend(drain(config, memory, &bins));
-    actions.extend(retire(config, memory, &bins, &digests));
+    if seen.hold {
+        memory.draining.clear();
+    } else {
+        actions.extend(drain(config, memory, &bins));
+        actions.extend(retire(config, memory, &bins, &digests));
+    }
     actions
 }
 
@@ -669,6 +678,36 @@
     actions
 }
 
+/// Machines whose workers have long not been in touch both ways: silent, or
+/// deaf to answers. The longest first, one in a hundred a lease: when many are
+/// so, it is a cut, which heals, and their room would be gone with them.
+fn out_of_touch(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<MachineId> {
+    let now = seen.now;
+    if memory
+        .replaced
+        .is_some_and(|at| now.since(at) < config.lease)
+    {
+        return Vec::new();
+    }
+    let long = (config.lease * 4)
+        .max(Duration::from_secs(60))
+        .as_secs_f64();
+    let mut lost: Vec<(f64, &MachineId)> = seen
+        .parts
+        .values()
+        .filter(|p| !p.rebuilding)
+        .flat_map(|p| &p.machines)
+        .filter(|m| m.lost_s > long && seen.records.contains_key(&m.machine))
+        .map(|m| (m.lost_s, &m.machine))
+        .collect();
+    lost.sort_by(|a, b| b.0.total_cmp(&a.0));
+    lost.truncate(seen.records.len() / 100 + 1);
+    if !lost.is_empty() {
+        memory.replaced = Some(now);
+    }
+    lost.into_iter().map(|(_, id)| id.clone()).collect()
+}
+
 /// Machines the list shows as failed, never up, or gone. One list alone, which
 /// may be stale, never decides over a machine that may still work.
 fn release_dead(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
@@ -686,6 +725,7 @@
         .map(|(id, _)| id.clone())
         .collect();
     release(retiring, "retired by its part");
+    release(out_of_touch(config, memory, seen), "out of touch");
     let Some(list) = seen.list else {
         return actions;
     };
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -199,6 +199,15 @@
     pub heard: Option<Moment>,
     /// Arrival of the last report that was answered.
     pub answered: Option<Moment>,
+    /// Session and number of the last message taken when a report was last
+    /// answered.
+    pub awaits: Option<(u64, u64)>,
+    /// Since when answers do not reach its worker: its reports come, but none
+    /// of them follows the one answered before. It takes no launches and is no
+    /// room until one does.
+    pub deaf_since: Option<Moment>,
+    /// Since when its worker has not surely been in touch both ways.
+    pub lost_since: Moment,
     /// When the cloud takes it away.
     pub taken_at: Option<Moment>,
     /// Attempts on it.
@@ -246,6 +255,12 @@
         free
     }
 
+    /// Answers have not reached it for longer than one lost answer explains.
+    pub fn is_deaf(&self, now: Moment, config: &Config) -> bool {
+        let bound = config.report.mul_f64(2.5) + Duration::from_secs(1);
+        self.deaf_since.is_some_and(|at| now.since(at) > bound)
+    }
+
     /// Whether it is being emptied.
     pub fn drains(&self, now: Moment) -> bool {
         now < self.drain_until
@@ -306,6 +321,10 @@
     Stale,
     /// Not a machine of this part.
     Unknown,
+    /// Its worker has seen a newer term: another owner commands it, and the
+    /// answer would be dropped. It must not be a 200, which would keep the
+    /// worker here while its lease runs out.
+    Superseded,
     /// Taken.
     Fresh,
 }
@@ -540,6 +559,9 @@
                     joined: now,
                     heard: None,
                     answered: None,
+                    awaits: None,
+                    deaf_since: None,
+                    lost_since: now,
                     taken_at: None,
                     slots: Vec::new(),
                     images: record_images,
@@ -594,6 +616,28 @@
         if newest <= machine.newest {
             return Taken::Stale;
         }
+        if report.term > machine.term(self.term) {
+            return Taken::Superseded;
+        }
+        // A worker that got an answer stays and sends its next message here; one
+        // that got none turns to other controllers first, or its lease expires.
+        if let Some((session, seq)) = machine.awaits.take() {
+            let hears = newest == (session, seq + 1);
+            if reply {
+                // It came between an answer and the report that follows.
+                machine.awaits = Some(if hears { newest } else { (session, seq) });
+            } else {
+                if hears != machine.deaf_since.is_none() {
+                    self.planned_at = None;
+                }
+                if hears {
+                    machine.deaf_since = None;
+                    machine.lost_since = now;
+                } else {
+                    machine.deaf_since.get_or_insert(now);
+                }
+            }
+        }
         machine.newest = newest;
         machine.heard = Some(now);
         let notice = report.notice_s.map(|s| now + secs(s.0));
@@ -827,11 +871,13 @@
             return Vec::new();
         };
         machine.answered = machine.answered.max(Some(now));
+        machine.awaits = Some(machine.newest);
         let mut orders = standing_orders(&machine.slots, &self.jobs);
         let term = machine.term(self.term);
         // A record without the worker's address is of a machine that was never
         // launched on; a take-over relies on it, so it is completed first.
-        if !machine.confirmed || machine.leaving || machine.record.endpoint.is_empty() {
+        let unready = !machine.confirmed || machine.deaf_since.is_some();
+        if unready || machine.leaving || machine.record.endpoint.is_empty() {
             return orders;
         }
         let (session, seq) = machine.newest;
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -164,6 +164,7 @@
             let heard = m.heard.is_some_and(|at| now.since(at) < fresh);
             let usable = m.confirmed
                 && heard
+                && m.deaf_since.is_none()
                 && !m.leaving
                 && !m.unfit
                 && !m.drains(now)
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -149,7 +149,7 @@
 
     pub fn submit(&mut self, spec: JobSpec, old: bool) {
         self.ledger
-            .put_job(job(spec), Stamp(2), old, at(0.0), &self.config);
+            .put_job(&job(spec), Stamp(2), old, at(0.0), &self.config);
     }
 
     pub fn report(&mut self, m: usize, seq: u64, tasks: Vec<TaskReport>) -> Report {
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -37,6 +37,7 @@
     records: BTreeMap<MachineId, MachineRecord>,
     parts: BTreeMap<PartId, PartDigest>,
     list: Option<Vec<Rental>>,
+    hold: bool,
 }
 
 impl Fleet {
@@ -51,6 +52,7 @@
             records: BTreeMap::new(),
             parts: BTreeMap::from([(A, part(A)), (B, part(B))]),
             list: None,
+            hold: false,
         }
     }
 
@@ -83,6 +85,7 @@
             memory_gb: free.memory_gb,
             idle_s,
             silent_s: 0.5,
+            lost_s: 0.5,
             unfit: false,
             pinned: 0.0,
             held: vec![(rank, 4.0 * held, held, 8.0 * held)],
@@ -96,6 +99,7 @@
             records: &self.records,
             parts: &self.parts,
             list: self.list.as_deref(),
+            hold: self.hold,
         };
         decide(&self.config, &mut self.memory, &seen)
     }
@@ -296,3 +300,57 @@
         assert_eq!(n, retired, "{reserve:?}: {actions:?}");
     }
 }
+
+#[test]
+fn nothing_is_given_back_while_users_wait_to_submit() {
+    // At an opening, machines idled while users were refused for want of
+    // tokens: ten were returned, and rented again a minute later.
+    for (hold, expected) in [(false, true), (true, false)] {
+        let mut f = Fleet::new();
+        f.hold = hold;
+        for n in 0..4 {
+            f.machine(A, n, 0.0, Rank::Standard, 300.0);
+        }
+        let given = f.decide(at(400.0)).iter().any(|a| {
+            matches!(
+                a,
+                Action::Retire(..) | Action::Drain(..) | Action::Release(..)
+            )
+        });
+        assert_eq!(given, expected, "hold: {hold}");
+    }
+}
+
+#[test]
+fn machines_out_of_touch_for_long_are_replaced_a_few_at_a_time() {
+    // (out of touch, seconds, machines released)
+    let cases = [
+        ("a short cut", 1, 20.0, 0),
+        ("one stays so", 1, 200.0, 1),
+        (
+            "a cut of many heals, and deleting them would not",
+            20,
+            200.0,
+            1,
+        ),
+    ];
+    for (name, many, lost_s, expected) in cases {
+        let mut f = Fleet::new();
+        for n in 0..40 {
+            f.machine(A, n, 1.0, Rank::Standard, -1.0);
+        }
+        let digests = &mut f.parts.get_mut(&A).unwrap().machines;
+        for m in digests.iter_mut().take(many) {
+            m.lost_s = lost_s;
+        }
+        let mut released = 0;
+        for s in 0..10 {
+            for action in f.decide(at(400.0 + f64::from(s))) {
+                if let Action::Release(machines, "out of touch") = action {
+                    released += machines.len();
+                }
+            }
+        }
+        assert_eq!(released, expected, "{name}");
+    }
+}
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -313,7 +313,7 @@
     let mut b = Bench::new(&["a"]);
     for n in 1..=2 {
         b.submit(spec(n, 1), false);
-        let seq = n * 10;
+        let seq = n * 2 - 1;
         let idle = b.report(0, seq, vec![]);
         let (t, a) = launches(&b.turn(&idle, n as f64))[0].clone();
         let failed = b.report(0, seq + 1, vec![exited(&t, a, Cause::Error)]);
@@ -336,3 +336,141 @@
     assert_eq!(launches(&orders).len(), 1);
     assert!(b.ledger.batch(Stamp(1), at(60.0), &b.config).is_none());
 }
+
+#[test]
+fn a_machine_that_hears_no_answers_takes_no_launches_until_it_does() {
+    // (what its next message shows, session, number, launched in the answer)
+    let cases = [
+        ("it heard the answer", 1, 2, 1),
+        ("it turned to others in between", 1, 5, 0),
+        ("its lease expired all the same", 2, 2, 0),
+    ];
+    for (name, session, seq, expected) in cases {
+        let mut b = Bench::new(&["a"]);
+        let first = b.report(0, 1, vec![]);
+        b.turn(&first, 1.0);
+        b.submit(spec(1, 1), false);
+        let mut next = b.report(0, seq, vec![]);
+        next.session = session;
+        assert_eq!(launches(&b.turn(&next, 2.0)).len(), expected, "{name}");
+        if expected == 0 {
+            // One that hears again is used again.
+            let mut after = b.report(0, seq + 1, vec![]);
+            after.session = session;
+            assert_eq!(launches(&b.turn(&after, 3.0)).len(), 1, "{name}");
+        }
+    }
+}
+
+#[test]
+fn a_deaf_machine_is_no_room_and_its_tasks_start_elsewhere_once_gone() {
+    let mut b = Bench::new(&["a", "a"]);
+    let idle = b.report(0, 1, vec![]);
+    b.turn(&idle, 0.5);
+    b.submit(spec(1, 1), false);
+    // The launch is lost with its answer; the worker tries other controllers,
+    // and its lease runs out meanwhile.
+    let second = b.report(0, 2, vec![]);
+    assert_eq!(launches(&b.turn(&second, 1.0)).len(), 1);
+    let free = |b: &Bench, s| b.ledger.digest(at(s), &b.config).machines[0].gpus;
+    let other = b.report(1, 1, vec![]);
+    assert!(launches(&b.turn(&other, 6.0)).is_empty(), "not yet gone");
+    let third = b.report(0, 5, vec![]);
+    assert!(launches(&b.turn(&third, 8.0)).is_empty());
+    let mut fourth = b.report(0, 9, vec![]);
+    fourth.session = 2;
+    assert!(launches(&b.turn(&fourth, 14.0)).is_empty());
+    assert_eq!(free(&b, 14.0), 0.0, "deaf for longer than one answer lost");
+    let other = b.report(1, 2, vec![]);
+    assert_eq!(launches(&b.turn(&other, 15.5)).len(), 1);
+    let digest = b.ledger.digest(at(15.5), &b.config);
+    assert!(digest.machines[0].lost_s > 12.0);
+}
+
+#[test]
+fn a_worker_that_obeys_a_newer_term_is_sent_away() {
+    let mut b = Bench::new(&["a"]);
+    b.submit(spec(1, 1), false);
+    let newer = b.report_under(0, 1, Term(6), vec![]);
+    let taken = b.ledger.report(&newer, false, at(1.0), &b.config);
+    assert_eq!(taken, Taken::Superseded);
+    assert_eq!(b.ledger.machines[&machine(0)].answered, None);
+}
+
+#[test]
+fn late_copies_of_reports_free_nothing_and_prolong_nothing() {
+    let mut b = Bench::new(&["a", "a"]);
+    b.submit(spec(1, 1), false);
+    let first = b.report(0, 1, vec![]);
+    let (t, a) = launches(&b.turn(&first, 1.0))[0].clone();
+    let running = b.report(0, 2, vec![state(&t, a, TaskState::Running)]);
+    b.turn(&running, 2.0);
+    // Copies of both come again: one lacks the task, one shows it.
+    for copy in [&first, &running] {
+        let taken = b.ledger.report(copy, false, at(9.0), &b.config);
+        assert_eq!(taken, Taken::Stale);
+    }
+    assert_eq!(b.ledger.machines[&machine(0)].answered, Some(at(2.0)));
+    let other = b.report(1, 1, vec![]);
+    assert!(launches(&b.turn(&other, 9.5)).is_empty(), "not freed");
+    // Its lease lapses counted from the report that was answered.
+    b.ledger.tick(at(12.5), &b.config);
+    let other = b.report(1, 2, vec![]);
+    assert_eq!(launches(&b.turn(&other, 12.6)).len(), 1);
+    // A machine released meanwhile is not brought back by a copy.
+    b.ledger.drop_machine(&machine(0));
+    let taken = b.ledger.report(&running, false, at(30.0), &b.config);
+    assert_eq!(taken, Taken::Unknown);
+}
+
+#[test]
+fn an_earlier_terms_report_counts_for_nothing_after_a_take_over() {
+    // The new owner knows no numbers yet: a copy from before it frees no task,
+    // shows none, and makes no room, whatever it lists.
+    let mut b = Bench::after(&["a", "a"], true, at(60.0));
+    b.submit(spec(1, 2), true);
+    let t = task(1, 0);
+    let copy = b.report_under(
+        0,
+        7,
+        Term(4),
+        vec![state(&t, Attempt(9), TaskState::Running)],
+    );
+    assert!(launches(&b.turn(&copy, 1.0)).is_empty());
+    assert!(b.ledger.jobs[&t.job].active.is_empty());
+    let other = b.report(1, 1, vec![]);
+    assert!(launches(&b.turn(&other, 1.5)).is_empty());
+    assert_eq!(b.ledger.digest(at(1.5), &b.config).machines[0].gpus, 0.0);
+}
+
+#[test]
+fn done_tasks_gather_until_their_record_is_worth_a_write() {
+    // Recording each done task by itself used up the state service's writes:
+    // users were refused, and what ended a job waited behind the rest.
+    // (tasks done of 4, seconds since, notice of the machine, recorded)
+    let cases = [
+        ("one of four", 1, 1.0, false, false),
+        ("one of four, for long", 1, 25.0, false, true),
+        ("one of four, its machine is taken away", 1, 1.0, true, true),
+        ("all", 4, 0.1, false, true),
+    ];
+    for (name, done, s, notice, recorded) in cases {
+        let mut b = Bench::new(&["a"]);
+        b.submit(spec(1, 4), false);
+        let first = b.report(0, 1, vec![]);
+        let launched = launches(&b.turn(&first, 1.0));
+        let tasks = launched
+            .iter()
+            .enumerate()
+            .map(|(n, (t, a))| match n < done {
+                true => exited(t, *a, Cause::Done),
+                false => state(t, *a, TaskState::Running),
+            });
+        let mut report = b.report(0, 2, tasks.collect());
+        report.notice_s = notice.then_some(pulleywood_wire::cbor::Amount(20.0));
+        b.turn(&report, 10.0);
+        b.ledger.tick(at(10.0), &b.config);
+        let batch = b.ledger.batch(Stamp(9), at(10.0 + s), &b.config);
+        assert_eq!(batch.is_some(), recorded, "{name}");
+    }
+}
--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -4,14 +4,16 @@
 //! that the sum over controllers stays within them whatever each one does.
 
 use parking_lot::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Who asks; earlier ones may use tokens that later ones must leave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
-    /// Lease renewals.
+    /// Lease renewals and take-overs: whatever they need beyond one token is
+    /// owed, since the parts of a restarted controller cannot wait.
     Lease,
-    /// Fences, take-overs and machines' records.
+    /// Other fences and machines' records.
     Owner,
     /// Users' requests.
     User,
@@ -78,6 +80,7 @@
 #[derive(Debug)]
 pub struct Budget {
     buckets: Mutex<(Bucket, Bucket)>,
+    short: AtomicBool,
 }
 
 impl Budget {
@@ -89,9 +92,34 @@
                 Bucket::new(rps, rps * burst_s),
                 Bucket::new(write_rps, write_rps * burst_s),
             )),
+            short: AtomicBool::new(false),
         }
     }
 
+    /// Whether the last call found too few tokens for its writes.
+    pub fn is_short(&self) -> bool {
+        self.short.load(Ordering::Relaxed)
+    }
+
+    /// Gives another controller up to half of a full bucket of write tokens,
+    /// as far as there are more here than that. The sum over controllers stays
+    /// what it was.
+    pub fn lend_writes(&self) -> u32 {
+        let mut both = self.buckets.lock();
+        both.1.fill(Instant::now());
+        let spare = (both.1.tokens - both.1.burst / 2.0).floor().max(0.0);
+        both.1.tokens -= spare;
+        spare as u32
+    }
+
+    /// Adds write tokens that another controller gave.
+    pub fn add_writes(&self, tokens: u32) {
+        let mut both = self.buckets.lock();
+        both.1.fill(Instant::now());
+        both.1.tokens = (both.1.tokens + f64::from(tokens)).min(both.1.burst);
+        self.short.store(false, Ordering::Relaxed);
+    }
+
     /// Most writes that one call should hold so that it need not wait for a
     /// full bucket.
     pub fn handy_writes(&self) -> usize {
@@ -118,7 +146,12 @@
         let writes = f64::from(writes);
         let mut wait = both.0.lacks(1.0, class.reserve());
         if writes > 0.0 {
-            wait = wait.max(both.1.lacks(writes, class.reserve()));
+            let need = match class {
+                Class::Lease => 1.0,
+                _ => writes,
+            };
+            wait = wait.max(both.1.lacks(need, class.reserve()));
+            self.short.store(wait.is_some(), Ordering::Relaxed);
         }
         if let Some(wait) = wait {
             return Err(wait);
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Tokens of this controller.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Most writes that one transaction should hold.
     pub fn handy_writes(&self) -> usize {
         self.budget.handy_writes()
@@ -246,13 +251,7 @@
             "/follow?starts={prefix}&from={from}&wait_ms={}",
             wait.as_millis()
         );
-        let answer = self.send(
-            &self.watch,
-            "GET",
-            &path,
-            None,
-            wait + CALL_TIME,
-        )?;
+        let answer = self.send(&self.watch, "GET", &path, None, wait + CALL_TIME)?;
         if answer.status == 410 {
             return Err(StateError::TooOld);
         }
--- a/crates/pulleywood-wire/src/ids.rs
+++ b/crates/pulleywood-wire/src/ids.rs
@@ -113,16 +113,27 @@
         &self.0
     }
 
-    /// The part that holds this job: a fixed hash (FNV-1a), so that every
-    /// controller and every release agrees.
+    /// The part that holds this job's record.
     pub fn part(&self, parts: u32) -> PartId {
-        let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-        for byte in self.0.bytes() {
-            hash ^= u64::from(byte);
-            hash = hash.wrapping_mul(0x0100_0000_01b3);
-        }
-        PartId(((hash >> 16) % u64::from(parts.max(1))) as u32)
+        part_of(&self.0, parts)
+    }
+}
+
+impl MachineId {
+    /// The part that takes this machine in, if its owner can.
+    pub fn part(&self, parts: u32) -> PartId {
+        part_of(&self.0, parts)
+    }
+}
+
+/// A fixed hash (FNV-1a), so that every controller and every release agrees.
+fn part_of(text: &str, parts: u32) -> PartId {
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+    for byte in text.bytes() {
+        hash ^= u64::from(byte);
+        hash = hash.wrapping_mul(0x0100_0000_01b3);
     }
+    PartId(((hash >> 16) % u64::from(parts.max(1))) as u32)
 }
 
 impl fmt::Display for JobId {
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -21,6 +21,8 @@
     Lend(PartId, PartId, Box<Demand>),
     /// Give up unused slots of these teams down to what is stated.
     Shrink(PartId, BTreeMap<String, Slots>),
+    /// Give some of the tokens for writes to the state service.
+    Tokens,
 }
 
 /// An answer.
@@ -30,6 +32,12 @@
     Ok,
     /// Not possible now.
     No,
+    /// This many tokens are the asker's now.
+    Tokens(u32),
+    /// A digest was taken; parts that the answerer still answers workers for.
+    /// Unlike a digest, which the network may have held back, this is surely
+    /// newer than the question.
+    Serving(Vec<(PartId, Term)>),
 }
 
 /// What one controller tells the others about once a second.
@@ -39,10 +47,15 @@
     pub member: MemberId,
     /// Which process.
     pub boot: u64,
+    /// Rises with every digest of that process: an older one may come late.
+    pub seq: u64,
     /// The state service answered lately.
     pub state_ok: bool,
     /// Ready to take over parts.
     pub fit: bool,
+    /// Users were refused lately for want of tokens: there is more work than
+    /// parts can show.
+    pub refusing: bool,
     /// Parts it still answers workers for, with their terms.
     pub serving: Vec<(PartId, Term)>,
     /// What its parts hold and need.
@@ -119,6 +132,8 @@
     pub idle_s: f64,
     /// Seconds since its last answered report; negative before the first.
     pub silent_s: f64,
+    /// Seconds since its worker was surely in touch both ways.
+    pub lost_s: f64,
     /// It should be replaced.
     pub unfit: bool,
     /// Share of it that tasks hold which may not run on spot machines.
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -122,6 +122,17 @@
     pub term: Term,
 }
 
+/// Who last held a part; outlives the lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastHolder {
+    /// The holder.
+    pub holder: Holder,
+    /// It has accounted for every machine that earlier holders commanded. Until
+    /// then it is not the only one whose workers may be unheard.
+    #[serde(default)]
+    pub settled: bool,
+}
+
 /// A machine's record, committed before its first launch.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -14,6 +14,7 @@
 use pulleywood_wire::settings::Settings;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 /// What one of the long-lived threads does.
 type Body = fn(&Arc<Shared>);
@@ -91,6 +92,8 @@
             node: Mutex::new(Node::new(config)),
             bell: Condvar::new(),
             reads: Reads::default(),
+            digests_sent: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
             finals: Mutex::new(Finals::default()),
             settings,
         });
@@ -109,9 +112,10 @@
         let serve_on = address(&shared.settings.serve_on)?;
         let serve_on =
             server::serve(serve_on, most, Front(Arc::clone(&shared))).map_err(io("serve_on"))?;
-        let threads: [(&str, Body); 6] = [
+        let threads: [(&str, Body); 7] = [
             ("follow", follow::run),
             ("read", follow::read_for_users),
+            ("borrow", peers::borrow),
             ("renew", owner::renew),
             ("parts", owner::hold_parts),
             ("flush", owner::flush),
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -292,6 +292,12 @@
             records: &records,
             parts: &parts,
             list: list.as_deref(),
+            // Users wait to submit: what lies idle is about to be needed.
+            hold: shared.refusing(now)
+                || node
+                    .digests
+                    .values()
+                    .any(|(d, at)| d.refusing && now.since(*at) < Duration::from_secs(4)),
         };
         log::debug!("{}", fleet::summary(&node.config, &seen));
         fleet::decide(&node.config, &mut office.memory, &seen)
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -64,11 +64,7 @@
                     None => StateError::Refused(503),
                 });
             }
-            if self
-                .answered
-                .wait_until(&mut tickets, end)
-                .timed_out()
-            {
+            if self.answered.wait_until(&mut tickets, end).timed_out() {
                 return Err(StateError::Unknown("no read in time".into()));
             }
         }
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -19,6 +19,7 @@
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Everything the threads of one controller share.
@@ -43,6 +44,10 @@
     pub bell: Condvar,
     /// Users' questions that wait for a read.
     pub reads: Reads,
+    /// Numbers digests.
+    pub digests_sent: AtomicU64,
+    /// When a submission was last refused for want of tokens.
+    pub refused: AtomicU64,
     /// Final states told or read, kept for later polls.
     pub finals: Mutex<Finals>,
 }
@@ -54,6 +59,8 @@
     order: VecDeque<JobId>,
 }
 
+/// Former processes remembered, so that late copies of their digests are known.
+const FORMER: usize = 64;
 const MAX_FINALS: usize = 5000;
 
 impl Finals {
@@ -119,7 +126,12 @@
     pub held: Vec<(JobId, JobEntry, Stamp)>,
     /// Being handed to another controller: nothing is launched.
     pub leaving: bool,
-    /// The holder before, and when this process took over.
+    /// When this process took it over.
+    pub taken: Moment,
+    /// Stamp of the record that says that all machines that came with it are
+    /// accounted for.
+    pub settled: Option<Stamp>,
+    /// The holder before, while it may still answer workers.
     pub before: Option<Holder>,
 }
 
@@ -139,6 +151,8 @@
     pub owned: BTreeMap<PartId, Owned>,
     /// Others' digests and when they came.
     pub digests: BTreeMap<MemberId, (Digest, Moment)>,
+    /// Processes of other controllers that were followed by newer ones.
+    pub former: VecDeque<u64>,
     /// Jobs accepted here lately: when, for which part, how large.
     pub sent: Vec<(Moment, PartId, f64)>,
 }
@@ -149,6 +163,12 @@
         secs(node.config.policy.part_lease_s)
     }
 
+    /// A submission was refused lately for want of tokens.
+    pub fn refusing(&self, now: Moment) -> bool {
+        let at = Moment(self.refused.load(Ordering::Relaxed));
+        at > Moment(0) && now.since(at) < Duration::from_secs(5)
+    }
+
     /// The digest this controller sends.
     pub fn digest(&self) -> Digest {
         let now = self.clock.now();
@@ -157,16 +177,11 @@
         Digest {
             member: self.me.clone(),
             boot: self.boot,
+            seq: self.digests_sent.fetch_add(1, Ordering::Relaxed) + 1,
             state_ok,
             fit: node.viewed && node.lease.permit.is_some() && state_ok,
-            serving: if node.may_answer(now) {
-                node.owned
-                    .iter()
-                    .map(|(p, o)| (*p, o.ledger.term))
-                    .collect()
-            } else {
-                Vec::new()
-            },
+            refusing: self.refusing(now),
+            serving: node.serving(now),
             parts: node.part_digests(now),
         }
     }
@@ -183,6 +198,7 @@
             caught_up: Moment::default(),
             owned: BTreeMap::new(),
             digests: BTreeMap::new(),
+            former: VecDeque::new(),
             sent: Vec::new(),
         }
     }
@@ -208,6 +224,15 @@
         self.viewed && now < contact + self.config.answer_span()
     }
 
+    /// Parts that workers are answered for, with their terms.
+    pub fn serving(&self, now: Moment) -> Vec<(PartId, Term)> {
+        if !self.may_answer(now) {
+            return Vec::new();
+        }
+        let owned = self.owned.iter();
+        owned.map(|(p, o)| (*p, o.ledger.term)).collect()
+    }
+
     /// Digests of the parts held here.
     pub fn part_digests(&self, now: Moment) -> Vec<PartDigest> {
         self.owned
@@ -232,7 +257,17 @@
 
     /// Another controller's digest came.
     pub fn take_digest(&mut self, digest: Digest, now: Moment) {
-        let lapsed = self.config.surely_lapsed();
+        // The network may have held it back, or bring a copy of it again.
+        let former = self.former.iter().any(|boot| *boot == digest.boot);
+        match self.digests.get(&digest.member) {
+            _ if former => return,
+            Some((known, _)) if known.boot == digest.boot && known.seq >= digest.seq => return,
+            Some((known, _)) if known.boot != digest.boot => {
+                self.former.push_back(known.boot);
+                self.former.truncate(FORMER);
+            }
+            _ => {}
+        }
         // Another holds a part under a newer term: this controller lost it
         // without hearing so. The sooner it stops answering that part's
         // workers, the sooner the new owner may place their tasks.
@@ -240,21 +275,34 @@
             let lost = |(p, term): &(PartId, Term)| p == part && *term > owned.ledger.term;
             !digest.serving.iter().any(lost)
         });
+        self.digests.insert(digest.member.clone(), (digest, now));
+        self.share_usage();
+    }
+
+    /// A peer said what it serves, when asked at `sent` or later. The old owner
+    /// of a part that no longer answers workers under the old term, or whose
+    /// process has ended, has answered none since: they lapse a lease from now.
+    /// Its digests do not show that: one from before it held the part says the
+    /// same, and may come late.
+    pub fn confirm(
+        &mut self,
+        peer: &MemberId,
+        sent: Moment,
+        now: Moment,
+        serving: &[(PartId, Term)],
+    ) {
+        let lapsed = self.config.surely_lapsed();
         for (part, owned) in &mut self.owned {
-            // The old owner says that it no longer answers workers under the
-            // old term, or its process has ended: what it answered last has
-            // lapsed a lease from now.
             if let Some(before) = &owned.before
-                && before.member == digest.member
-                && !digest.serving.contains(&(*part, before.term))
+                && before.member == *peer
+                && sent > owned.taken
+                && !serving.contains(&(*part, before.term))
             {
                 let until = now + lapsed;
                 owned.ledger.silent_until = owned.ledger.silent_until.min(until);
                 owned.before = None;
             }
         }
-        self.digests.insert(digest.member.clone(), (digest, now));
-        self.share_usage();
     }
 
     /// Tells each part's ledger what other parts use.
@@ -302,10 +350,12 @@
             Key::Role => self.view.role = read(value, &path).map(|h| (h, stamp)),
             Key::Part(p) => match read::<Holder>(value, &path) {
                 Some(holder) => {
+                    self.lost_since(p, stamp);
                     self.view.free_since.remove(&p);
                     self.view.parts.insert(p, (holder, stamp));
                 }
                 None => {
+                    self.lost_since(p, stamp);
                     self.view.parts.remove(&p);
                     self.view.free_since.entry(p).or_insert(now);
                 }
@@ -331,7 +381,7 @@
                 let entry: Option<JobEntry> = match (value, chunk) {
                     (None, 0) => Some(JobEntry::Gone),
                     (None, _) => None,
-                    (Some(_), 0) => read(value, &path).map(JobEntry::Record),
+                    (Some(_), 0) => read(value, &path).map(|r| JobEntry::Record(Box::new(r))),
                     (Some(_), n) => read(value, &path).map(|r| JobEntry::Chunk(n, r)),
                 };
                 let Some(entry) = entry else { return };
@@ -357,6 +407,12 @@
         }
     }
 
+    /// A part's key changed after it was taken here: it is no longer held.
+    fn lost_since(&mut self, part: PartId, stamp: Stamp) {
+        self.owned
+            .retain(|p, owned| *p != part || owned.stamp >= stamp);
+    }
+
     /// A part's grants as stored.
     pub fn put_grant(&mut self, p: PartId, record: GrantRecord, stamp: Stamp) {
         if self.view.grants.get(&p).is_some_and(|(_, s)| *s >= stamp) {
@@ -464,7 +520,7 @@
 #[derive(Debug, Clone)]
 pub enum JobEntry {
     /// The live record.
-    Record(JobRecord),
+    Record(Box<JobRecord>),
     /// A continuation.
     Chunk(u32, ChunkRecord),
     /// The job is over.
@@ -504,3 +560,171 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use pulleywood_core::config::Policy;
+    use std::time::Duration;
+
+    fn at(s: u64) -> Moment {
+        Moment(1_000_000 + s * 1000)
+    }
+
+    fn node() -> Node {
+        let settings: Settings = serde_json::from_value(serde_json::json!({
+            "member": "c-0", "domain": "a",
+            "serve_on": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2", "seeds": [],
+            "services": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+            "cluster": {
+                "initial_size": 2, "zones": ["a"], "teams": [],
+                "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 40.0},
+                "state": {"rps": 100.0, "write_rps": 20, "value_kb": 8.0, "txn_ops": 12},
+                "cloud": {"rps": 2.0, "list_lag_s": 5.0},
+                "resources": {"cores": 0.1, "ram_mb": 64.0, "max_sockets": 500}
+            }
+        }))
+        .unwrap();
+        let policy = Policy::defaults(&settings);
+        Node::new(Config::new(&settings, policy))
+    }
+
+    fn digest(boot: u64, seq: u64, serving: Vec<(PartId, Term)>) -> Digest {
+        Digest {
+            member: "c-1".into(),
+            boot,
+            seq,
+            state_ok: true,
+            fit: true,
+            refusing: false,
+            serving,
+            parts: vec![],
+        }
+    }
+
+    /// Holds part 0 since second 10, after process 7 of `c-1` under term 3.
+    fn taken(node: &mut Node) {
+        let until = at(10) + node.config.silent_span();
+        let ledger = PartLedger::new(PartId(0), Term(4), until, vec![]);
+        let before = Holder {
+            member: "c-1".into(),
+            boot: 7,
+            term: Term(3),
+        };
+        let owned = Owned {
+            ledger,
+            stamp: Stamp(40),
+            loaded: true,
+            held: vec![],
+            leaving: false,
+            taken: at(10),
+            settled: None,
+            before: Some(before),
+        };
+        node.owned.insert(PartId(0), owned);
+    }
+
+    #[test]
+    fn only_an_answer_asked_for_since_proves_that_the_old_owner_stopped() {
+        // A digest from before it held the part says the same as one from after
+        // it stopped, and the network may bring it late.
+        let lapsed = at(11) + node().config.surely_lapsed();
+        let full = at(10) + node().config.silent_span();
+        type Say = fn(&mut Node);
+        let cases: [(&str, Say, Moment); 4] = [
+            (
+                "a digest",
+                |n| n.take_digest(digest(7, 1, vec![]), at(11)),
+                full,
+            ),
+            (
+                "an answer asked for before the take-over",
+                |n| n.confirm(&"c-1".into(), at(9), at(11), &[]),
+                full,
+            ),
+            (
+                "it still answers workers",
+                |n| n.confirm(&"c-1".into(), at(11), at(11), &[(PartId(0), Term(3))]),
+                full,
+            ),
+            (
+                "it does not",
+                |n| n.confirm(&"c-1".into(), at(11), at(11), &[]),
+                lapsed,
+            ),
+        ];
+        for (name, say, expected) in cases {
+            let mut node = node();
+            taken(&mut node);
+            say(&mut node);
+            assert_eq!(
+                node.owned[&PartId(0)].ledger.silent_until,
+                expected,
+                "{name}"
+            );
+        }
+    }
+
+    #[test]
+    fn late_copies_of_digests_are_dropped() {
+        // (process, number, taken)
+        let cases = [
+            (7, 5, true),
+            (7, 5, false),
+            (7, 4, false),
+            (8, 1, true),
+            (7, 9, false),
+            (8, 2, true),
+        ];
+        let mut node = node();
+        for (n, (boot, seq, expected)) in cases.into_iter().enumerate() {
+            let now = at(n as u64);
+            node.take_digest(digest(boot, seq, vec![]), now);
+            let newest = &node.digests[&MemberId::from("c-1")];
+            assert_eq!(newest.1 == now, expected, "{boot}/{seq}");
+        }
+    }
+
+    #[test]
+    fn a_part_whose_key_changed_is_no_longer_held() {
+        for (stamp, held) in [(39, true), (40, true), (41, false)] {
+            let mut node = node();
+            taken(&mut node);
+            let event = Event {
+                write: None,
+                delete: Some("c/part/0".into()),
+                value: None,
+                stamp: Stamp(stamp),
+            };
+            node.event(event, at(12));
+            assert_eq!(node.owned.contains_key(&PartId(0)), held, "{stamp}");
+        }
+    }
+
+    #[test]
+    fn workers_are_answered_only_while_a_cancellation_can_still_be_obeyed() {
+        // Out of contact since second 0; a worker lapses a lease after the
+        // last answer, and a cancellation told elsewhere has cancel_s.
+        let mut node = node();
+        node.viewed = true;
+        node.lease.permit = Some(Permit(1));
+        node.lease.renewed = at(0);
+        node.caught_up = at(0);
+        let (lease, cancel) = (node.config.lease, node.config.cancel);
+        let last = (0..100_000)
+            .map(|ms| at(0) + Duration::from_millis(ms))
+            .take_while(|&t| node.may_answer(t))
+            .last()
+            .unwrap();
+        assert!(last + lease < at(0) + cancel);
+        assert!(
+            last > at(0) + (cancel - lease) / 2,
+            "tasks live through outages"
+        );
+        assert!(
+            !node.may_act(node.lease_end()),
+            "nothing is launched past it"
+        );
+        assert!(node.lease_end() < last);
+    }
+}
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -9,8 +9,8 @@
 use pulleywood_net::{Class, StateError, cloud};
 use pulleywood_wire::peer::Demand;
 use pulleywood_wire::record::{
-    Holder, JOBS, Key, LAYOUT, Layout, TERM, TermRecord, grant_key, job_key, last_key, machine_key,
-    part_key,
+    Holder, JOBS, Key, LAYOUT, LastHolder, Layout, TERM, TermRecord, grant_key, job_key, last_key,
+    machine_key, part_key,
 };
 use pulleywood_wire::state::{Commit, Item};
 use pulleywood_wire::worker::Direct;
@@ -129,6 +129,7 @@
             Step::Take(part, permit) => take(shared, part, permit),
             Step::HandBack(part) => hand_back(shared, part),
             Step::Disown(part, stamp) => disown(shared, part, stamp),
+            Step::Settle(part) => settle(shared, part),
         };
         if let Err(e) = result {
             log::debug!("parts: {e}");
@@ -147,6 +148,8 @@
     HandBack(PartId),
     /// A transaction that was given up on was applied after all.
     Disown(PartId, Stamp),
+    /// Every machine that came with the part is accounted for.
+    Settle(PartId),
 }
 
 /// A part without an owner waits this long for one that has none.
@@ -218,7 +221,44 @@
             }
         }
     }
-    Step::Nothing
+    let unsettled = |o: &Owned| o.loaded && o.settled.is_none() && !o.ledger.rebuilding();
+    match node.owned.iter().find(|(_, o)| unsettled(o)) {
+        Some((p, _)) => Step::Settle(*p),
+        None => Step::Nothing,
+    }
+}
+
+/// Records that the next owner has this one's workers alone to think of.
+fn settle(shared: &Arc<Shared>, part: PartId) -> Result<(), StateError> {
+    let key = last_key(part);
+    let Some(item) = shared.state.get(Class::Owner, &key)? else {
+        return Ok(());
+    };
+    let Some(last) = read::<LastHolder>(Some(&item.value), &key) else {
+        return Ok(());
+    };
+    let (stamp, term) = {
+        let node = shared.node.lock();
+        match node.owned.get(&part) {
+            Some(owned) if owned.ledger.term == last.holder.term => (owned.stamp, last.holder.term),
+            _ => return Ok(()),
+        }
+    };
+    let settled = LastHolder {
+        settled: true,
+        ..last
+    };
+    let commit = Commit::default()
+        .when(part_key(part), stamp)
+        .when(key.clone(), item.stamp)
+        .write(key, &settled);
+    if let Outcome::Applied(at) = shared.state.commit(Class::Owner, &commit)?
+        && let Some(owned) = shared.node.lock().owned.get_mut(&part)
+        && owned.ledger.term == term
+    {
+        owned.settled = Some(at);
+    }
+    Ok(())
 }
 
 /// Stores the layout, once for ever.
@@ -246,8 +286,11 @@
 fn take(shared: &Arc<Shared>, part: PartId, permit: Permit) -> Result<(), StateError> {
     let (term, term_stamp) = newest_term(shared)?;
     let last = shared.state.get(Class::Owner, &last_key(part))?;
-    let (before, last_stamp) = match &last {
-        Some(item) => (read::<Holder>(Some(&item.value), &item.path), item.stamp),
+    let (last, last_stamp) = match &last {
+        Some(item) => (
+            read::<LastHolder>(Some(&item.value), &item.path),
+            item.stamp,
+        ),
         None => (None, Stamp(0)),
     };
     let term = Term(term.0 + 1);
@@ -270,16 +313,26 @@
         .when(last_key(part), last_stamp)
         .write(TERM, &TermRecord { last: term })
         .hold(part_key(part), &holder, permit)
-        .write(last_key(part), &holder);
+        .write(
+            last_key(part),
+            &LastHolder {
+                holder: holder.clone(),
+                settled: last.is_none(),
+            },
+        );
     let first_grant = grants::first(&config, layout.map_or(1, |l| l.parts));
     if !has_grant {
         commit = commit
             .when(grant_key(part), Stamp(0))
             .write(grant_key(part), &first_grant);
     }
-    let stamp = match shared.state.commit(Class::Owner, &commit) {
+    let stamp = match shared.state.commit(Class::Lease, &commit) {
         Ok(Outcome::Applied(stamp)) => stamp,
-        Ok(Outcome::Conflict) => return Ok(()),
+        Ok(Outcome::Conflict) => {
+            // Most likely another part was taken at this moment.
+            std::thread::sleep(Duration::from_millis(fastrand::u64(5..60)));
+            return Ok(());
+        }
         // If it was applied all the same, the key names this process: it is
         // found below, by reading it.
         Err(StateError::Unknown(_)) => match shared.state.get(Class::Owner, &part_key(part))? {
@@ -294,13 +347,17 @@
     };
     let now = shared.clock.now();
     // Workers that report to nobody: the old owner may answer them for a while
-    // after its last contact, unless its process is known to have ended.
-    let silent_until = match &before {
-        None => now,
-        Some(h) if h.member == shared.me => now + config.surely_lapsed(),
-        Some(_) => now + config.silent_span(),
+    // after its last contact, unless its process is known to have ended. If it
+    // had not accounted for all machines itself, so may those before it: once
+    // a restarted process trusted in its former self alone, which had held the
+    // part for less time than the owner before may answer workers.
+    let (silent_until, before) = match &last {
+        None => (now, None),
+        Some(l) if !l.settled => (now + config.silent_span(), None),
+        Some(l) if l.holder.member == shared.me => (now + config.surely_lapsed(), None),
+        Some(l) => (now + config.silent_span(), Some(l.holder.clone())),
     };
-    log::info!("took part {part} under term {term}, before: {before:?}");
+    log::info!("took part {part} under term {term}, before: {last:?}");
     {
         let mut node = shared.node.lock();
         if node.lease.permit != Some(permit) {
@@ -314,7 +371,6 @@
         if let Some((record, _)) = node.view.grants.get(&part) {
             ledger.grants = record.clone();
         }
-        let before = before.filter(|h| h.member != shared.me);
         node.view.parts.insert(part, (holder, stamp));
         node.view.free_since.remove(&part);
         node.owned.insert(
@@ -325,6 +381,8 @@
                 loaded: false,
                 held: Vec::new(),
                 leaving: false,
+                taken: now,
+                settled: last.is_none().then_some(stamp),
                 before,
             },
         );
@@ -407,7 +465,7 @@
     };
     let value = Some(&item.value);
     let entry = match chunk {
-        0 => JobEntry::Record(read(value, &item.path)?),
+        0 => JobEntry::Record(Box::new(read(value, &item.path)?)),
         n => JobEntry::Chunk(n, read(value, &item.path)?),
     };
     Some((id, entry))
@@ -770,9 +828,7 @@
             Ok(Outcome::Applied(stamp)) => {
                 let config = Arc::clone(&node.config);
                 for owned in node.owned.values_mut().filter(|o| o.loaded) {
-                    owned
-                        .ledger
-                        .put_job(&record, stamp, false, now, &config);
+                    owned.ledger.put_job(&record, stamp, false, now, &config);
                 }
                 lent = true;
             }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -17,6 +17,7 @@
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{JobId, JobSpec, JobStatus, Moment, PartId, Rank, Stamp, cbor};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// A job as stored.
@@ -209,6 +210,11 @@
         // It may have been accepted; the user's retry will tell.
         Err(e) => {
             log::debug!("submission of {id}: {e}");
+            if matches!(e, StateError::Budget(_)) {
+                shared
+                    .refused
+                    .store(shared.clock.now().0, Ordering::Relaxed);
+            }
             later(&e)
         }
     }
@@ -330,7 +336,6 @@
     if started && !alone {
         Response::status(200)
     } else {
-        log::debug!("not ready: started {started}, alone {alone}");
         Response::later(503, 1)
     }
 }
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -1,11 +1,12 @@
 //! Workers' reports.
 
 use crate::node::{Node, Shared};
+use crate::owner::newest_term;
 use pulleywood_core::ledger::Taken;
 use pulleywood_net::Class;
 use pulleywood_net::server::Response;
 use pulleywood_net::state::Outcome;
-use pulleywood_wire::record::{MachineRecord, machine_key, part_key};
+use pulleywood_wire::record::{MachineRecord, TERM, TermRecord, machine_key, part_key};
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::worker::{Redirect, Report, ReportAnswer};
 use pulleywood_wire::{MemberId, PartId, Stamp, Term, cbor};
@@ -98,25 +99,28 @@
                 _ => Route::Nobody,
             }
         }
-        // A machine nobody knows is adopted by whichever owner hears it: no
-        // owner launches before the record is written, so it holds no task.
+        // A machine nobody knows goes to the part that its name falls on, so
+        // that many at once do not all wait for one controller's tokens; or to
+        // whichever owner hears it. No owner launches before the record is
+        // written, so it holds no task.
         None => {
-            if node.may_act(now)
-                && let Some((part, owned)) = node
-                    .owned
-                    .iter()
-                    .filter(|(_, o)| o.loaded && !o.leaving)
-                    .min_by_key(|(_, o)| o.ledger.machines.len())
+            let part = report.machine.part(node.config.parts);
+            if let Some((holder, _)) = node.view.parts.get(&part)
+                && holder.member != shared.me
+                && let Route::There(member) = there(&holder.member)
             {
-                let term = owned.ledger.term.max(report.term);
-                return Route::Record(*part, owned.stamp, Stamp(0), None, term);
+                return Route::There(member);
             }
-            let other = node
-                .view
-                .parts
-                .values()
-                .find(|(h, _)| h.member != shared.me);
-            match other {
+            let free = |p: &PartId| held(p).filter(|_| node.may_act(now));
+            let mine = free(&part).map(|o| (part, o)).or_else(|| {
+                let all = node.owned.keys().filter_map(|p| Some((*p, free(p)?)));
+                all.min_by_key(|(_, o)| o.ledger.machines.len())
+            });
+            if let Some((part, owned)) = mine {
+                return Route::Record(part, owned.stamp, Stamp(0), None, owned.ledger.term);
+            }
+            let mut others = node.view.parts.values();
+            match others.find(|(h, _)| h.member != shared.me) {
                 Some((holder, _)) => there(&holder.member),
                 None => Route::Nobody,
             }
@@ -136,6 +140,20 @@
     term: Term,
 ) -> bool {
     let adopted = record.is_none();
+    let mut commit = Commit::default();
+    let mut term = term;
+    if adopted && report.term >= term {
+        // Its worker obeyed some owner before, or this is a late copy of a
+        // report of a machine that is gone. Under a fresh term only a report
+        // that answers ours shows what is on it, and no attempt repeats.
+        let Ok((last, stamp)) = newest_term(shared) else {
+            return false;
+        };
+        term = Term(last.0.max(report.term.0) + 1);
+        commit = commit
+            .when(TERM, stamp)
+            .write(TERM, &TermRecord { last: term });
+    }
     let mut record = record.unwrap_or_else(|| MachineRecord {
         part,
         term,
@@ -148,7 +166,7 @@
     });
     record.endpoint.clone_from(&report.endpoint);
     let key = machine_key(&report.machine);
-    let commit = Commit::default()
+    let commit = commit
         .when(key.clone(), stamp)
         .when(part_key(part), part_stamp)
         .write(key, &record);
@@ -182,8 +200,9 @@
     };
     match owned.ledger.report(report, false, now, &config) {
         Taken::Fresh => {}
-        // Its worker has given this report up and drops the answer.
-        Taken::Stale | Taken::Unknown => return Response::later(503, 1),
+        // Its worker has given this report up and drops the answer, or obeys
+        // another owner and is to look for it.
+        Taken::Stale | Taken::Unknown | Taken::Superseded => return Response::later(503, 1),
     }
     let orders = owned.ledger.answer(&report.machine, launch, now, &config);
     let Some(machine) = owned.ledger.machines.get(&report.machine) else {
