--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -58,6 +58,8 @@
     pub done: TaskSet,
     /// Done tasks as committed.
     pub committed: TaskSet,
+    /// Since when one of them waits for that; none: it is to be done at once.
+    pub done_since: Option<Moment>,
     /// Tasks to launch.
     pub waiting: TaskSet,
     /// Tasks that run or perhaps run, and where.
@@ -197,6 +199,15 @@
     pub heard: Option<Moment>,
     /// Arrival of the last report that was answered.
     pub answered: Option<Moment>,
+    /// Session and number of the last message taken when a report was last
+    /// answered.
+    pub awaits: Option<(u64, u64)>,
+    /// Since when answers do not reach its worker: its reports come, but none
+    /// of them follows the one answered before. It takes no launches and is no
+    /// room until one does.
+    pub deaf_since: Option<Moment>,
+    /// Since when its worker has not surely been in touch both ways.
+    pub lost_since: Moment,
     /// When the cloud takes it away.
     pub taken_at: Option<Moment>,
     /// Attempts on it.
@@ -244,6 +255,12 @@
         free
     }
 
+    /// Answers have not reached it for longer than one lost answer explains.
+    pub fn is_deaf(&self, now: Moment, config: &Config) -> bool {
+        let bound = config.report.mul_f64(2.5) + Duration::from_secs(1);
+        self.deaf_since.is_some_and(|at| now.since(at) > bound)
+    }
+
     /// Whether it is being emptied.
     pub fn drains(&self, now: Moment) -> bool {
         now < self.drain_until
@@ -304,6 +321,10 @@
     Stale,
     /// Not a machine of this part.
     Unknown,
+    /// Its worker has seen a newer term: another owner commands it, and the
+    /// answer would be dropped. It must not be a 200, which would keep the
+    /// worker here while its lease runs out.
+    Superseded,
     /// Taken.
     Fresh,
 }
@@ -385,13 +406,18 @@
     /// launched it.
     pub fn put_job(
         &mut self,
-        record: JobRecord,
+        record: &JobRecord,
         stamp: Stamp,
         old: bool,
         now: Moment,
         config: &Config,
     ) {
         let id = record.spec.id.clone();
+        // Most records are of other parts.
+        let ours = record.part == self.part || record.lent.iter().any(|l| l.part == self.part);
+        if !ours && !self.jobs.contains_key(&id) {
+            return;
+        }
         let tasks = record.spec.tasks;
         let mut done = TaskSet::new();
         if !done.add_chunk(&record.done, 0, config.chunk, tasks) {
@@ -400,7 +426,7 @@
             done = TaskSet::new();
         }
         let mine = record.share(self.part);
-        let (bound, away) = bindings(&record, self.part);
+        let (bound, away) = bindings(record, self.part);
         match self.jobs.get_mut(&id) {
             // Nothing new, as after a batch of this owner's own.
             Some(job) if stamp <= job.stamp => return,
@@ -410,7 +436,7 @@
                     job.touch = false;
                 }
                 job.stamp = stamp;
-                job.lent = record.lent;
+                job.lent.clone_from(&record.lent);
                 job.mine = mine;
                 (job.bound, job.away) = (bound, away);
                 merge(job, &done);
@@ -422,12 +448,12 @@
             None if mine.is_empty() => return,
             None => {
                 let mut job = Job {
-                    spec: Arc::new(record.spec),
+                    spec: Arc::new(record.spec.clone()),
                     at_ms: record.at_ms,
                     stamp,
                     chunk_stamps: BTreeMap::new(),
                     home: record.part,
-                    lent: record.lent,
+                    lent: record.lent.clone(),
                     mine,
                     offered: TaskSet::new(),
                     offered_zone: None,
@@ -436,6 +462,7 @@
                     touch: false,
                     done: TaskSet::new(),
                     committed: TaskSet::new(),
+                    done_since: None,
                     waiting: TaskSet::new(),
                     active: BTreeMap::new(),
                     round: None,
@@ -532,6 +559,9 @@
                     joined: now,
                     heard: None,
                     answered: None,
+                    awaits: None,
+                    deaf_since: None,
+                    lost_since: now,
                     taken_at: None,
                     slots: Vec::new(),
                     images: record_images,
@@ -586,6 +616,28 @@
         if newest <= machine.newest {
             return Taken::Stale;
         }
+        if report.term > machine.term(self.term) {
+            return Taken::Superseded;
+        }
+        // A worker that got an answer stays and sends its next message here; one
+        // that got none turns to other controllers first, or its lease expires.
+        if let Some((session, seq)) = machine.awaits.take() {
+            let hears = newest == (session, seq + 1);
+            if reply {
+                // It came between an answer and the report that follows.
+                machine.awaits = Some(if hears { newest } else { (session, seq) });
+            } else {
+                if hears != machine.deaf_since.is_none() {
+                    self.planned_at = None;
+                }
+                if hears {
+                    machine.deaf_since = None;
+                    machine.lost_since = now;
+                } else {
+                    machine.deaf_since.get_or_insert(now);
+                }
+            }
+        }
         machine.newest = newest;
         machine.heard = Some(now);
         let notice = report.notice_s.map(|s| now + secs(s.0));
@@ -760,6 +812,9 @@
                     // A replica that ends by itself is started again.
                     if job.spec.shape.completes() && task.index < job.spec.tasks {
                         job.waiting.remove(task.index);
+                        if job.done.len() == job.committed.len() {
+                            job.done_since = Some(now);
+                        }
                         if job.done.insert(task.index) {
                             self.dirty_jobs.insert(task.job.clone());
                         }
@@ -816,11 +871,13 @@
             return Vec::new();
         };
         machine.answered = machine.answered.max(Some(now));
+        machine.awaits = Some(machine.newest);
         let mut orders = standing_orders(&machine.slots, &self.jobs);
         let term = machine.term(self.term);
         // A record without the worker's address is of a machine that was never
         // launched on; a take-over relies on it, so it is completed first.
-        if !machine.confirmed || machine.leaving || machine.record.endpoint.is_empty() {
+        let unready = !machine.confirmed || machine.deaf_since.is_some();
+        if unready || machine.leaving || machine.record.endpoint.is_empty() {
             return orders;
         }
         let (session, seq) = machine.newest;
@@ -910,6 +967,7 @@
         if changed {
             self.disturb();
         }
+        self.hurry_done(now);
     }
 
     /// Whether any unheard machine may still run a task of this job.
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -62,7 +62,7 @@
     pub fn new(addr: SocketAddr, budget: Budget) -> Self {
         Self {
             calls: Client::new(addr, 8),
-            watch: Client::new(addr, 1),
+            watch: Client::new(addr, 2),
             budget,
             started: Instant::now(),
             last_ok: AtomicU64::new(0),
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Tokens of this controller.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Most writes that one transaction should hold.
     pub fn handy_writes(&self) -> usize {
         self.budget.handy_writes()
@@ -91,8 +96,8 @@
     fn take(&self, class: Class, writes: u32) -> Result<(), StateError> {
         let patience = match class {
             Class::Lease | Class::Owner => Duration::from_secs(3),
-            Class::User => Duration::ZERO,
-            Class::House => Duration::from_secs(1),
+            Class::User | Class::Later => Duration::ZERO,
+            Class::Done | Class::House => Duration::from_secs(1),
         };
         let end = Instant::now() + patience;
         loop {
@@ -246,13 +251,7 @@
             "/follow?starts={prefix}&from={from}&wait_ms={}",
             wait.as_millis()
         );
-        let answer = self.send(
-            &self.watch,
-            "GET",
-            &path,
-            None,
-            wait + Duration::from_secs(3),
-        )?;
+        let answer = self.send(&self.watch, "GET", &path, None, wait + CALL_TIME)?;
         if answer.status == 410 {
             return Err(StateError::TooOld);
         }
