--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -5,6 +5,7 @@
 use crate::ledger::{Job, PartLedger, SlotState};
 use crate::room::Room;
 use pulleywood_wire::job::JobStatus;
+use pulleywood_wire::pack::{PackRecord, Packs};
 use pulleywood_wire::record::{ChunkRecord, OverRecord, chunk_key, job_key, over_key, part_key};
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{JobId, Moment, Stamp};
@@ -26,6 +27,8 @@
     /// Jobs with the tasks it records, the chunks it writes, and whether the
     /// job is over with it.
     pub jobs: Vec<BatchJob>,
+    /// Packs that jobs leave with it, as they are then.
+    pub packs: Vec<(u64, Option<PackRecord>)>,
 }
 
 /// One job of a batch.
@@ -109,7 +112,15 @@
 
     /// The next batch, conditioned on the part's stamp and on every key it
     /// changes.
-    pub fn batch(&self, part_stamp: Stamp, now: Moment, config: &Config) -> Option<Batch> {
+    pub fn batch(
+        &self,
+        part_stamp: Stamp,
+        packs: &Packs,
+        now: Moment,
+        config: &Config,
+    ) -> Option<Batch> {
+        let mut unpacked: BTreeSet<JobId> = BTreeSet::new();
+        let mut touched: BTreeSet<u64> = BTreeSet::new();
         let mut commit = Commit::default().when(part_key(self.part), part_stamp);
         let mut jobs = Vec::new();
         let mut bytes = 0;
@@ -127,20 +138,41 @@
             if job.touch {
                 chunks.insert(0);
             }
-            let ops = if over {
-                2 + job.chunk_stamps.len()
-            } else {
-                chunks.len()
+            let pack = match (job.packed, packs.find(id)) {
+                (false, _) => None,
+                (true, Some(n)) => Some(n),
+                // It has left its pack; the watch is about to say how.
+                (true, None) => continue,
             };
-            let full = commit.changes.len() + ops > config.batch_ops || bytes > MAX_BYTES;
+            // Its first record of its own holds the first chunk.
+            if pack.is_some() && !over {
+                chunks.insert(0);
+            }
+            let new_pack = pack.is_some_and(|n| !touched.contains(&n));
+            let ops = usize::from(new_pack)
+                + match (over, pack) {
+                    (true, Some(_)) => 1,
+                    (true, None) => 2 + job.chunk_stamps.len(),
+                    (false, _) => chunks.len(),
+                };
+            let full = commit.changes.len() + touched.len() + ops > config.batch_ops
+                || bytes > MAX_BYTES;
             if full && !jobs.is_empty() {
                 break;
             }
+            if let Some(n) = pack {
+                touched.insert(n);
+                unpacked.insert(id.clone());
+                bytes += 8192;
+            }
             let key = job_key(id.part(config.parts), id);
-            commit = commit.when(key.clone(), job.stamp);
+            let stamp = if pack.is_some() { Stamp(0) } else { job.stamp };
+            commit = commit.when(key.clone(), stamp);
             if over {
+                if pack.is_none() {
+                    commit = commit.delete(key);
+                }
                 commit = commit
-                    .delete(key)
                     .when(over_key(id), Stamp(0))
                     .write(over_key(id), &over_record(job, JobStatus::Done));
                 for (&chunk, &stamp) in &job.chunk_stamps {
@@ -169,7 +201,12 @@
                 over,
             });
         }
-        (!jobs.is_empty()).then_some(Batch { commit, jobs })
+        let (commit, packs) = packs.take_out(commit, &unpacked);
+        (!jobs.is_empty()).then_some(Batch {
+            commit,
+            jobs,
+            packs,
+        })
     }
 
     /// A batch was committed: its tasks may be cleared from now on.
@@ -190,6 +227,7 @@
                     if stamp > job.stamp {
                         job.settle_offer();
                     }
+                    job.packed = false;
                     job.stamp = job.stamp.max(stamp);
                 } else {
                     let slot = job.chunk_stamps.entry(chunk).or_default();
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -33,8 +33,10 @@
     pub spec: Arc<JobSpec>,
     /// When, by the acceptor's time of day.
     pub at_ms: u64,
-    /// Stamp of its record.
+    /// Stamp of its record, or of the pack it was accepted in.
     pub stamp: Stamp,
+    /// It is still in that pack, and has no record of its own.
+    pub packed: bool,
     /// Stamps of its continuations.
     pub chunk_stamps: BTreeMap<u32, Stamp>,
     /// The part that accepted it, and its loans, as stored.
@@ -431,6 +433,7 @@
             // Nothing new, as after a batch of this owner's own.
             Some(job) if stamp <= job.stamp => return,
             Some(job) => {
+                job.packed = false;
                 if stamp > job.stamp {
                     job.offered = TaskSet::new();
                     job.touch = false;
@@ -451,6 +454,7 @@
                     spec: Arc::new(record.spec.clone()),
                     at_ms: record.at_ms,
                     stamp,
+                    packed: false,
                     chunk_stamps: BTreeMap::new(),
                     home: record.part,
                     lent: record.lent.clone(),
@@ -483,6 +487,26 @@
         self.disturb();
     }
 
+    /// A job was accepted in a pack. One that is known has a record of its own
+    /// by now, or is known from this pack.
+    pub fn put_packed(
+        &mut self,
+        record: &JobRecord,
+        stamp: Stamp,
+        old: bool,
+        now: Moment,
+        config: &Config,
+    ) {
+        let id = &record.spec.id;
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        self.put_job(record, stamp, old, now, config);
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.packed = true;
+        }
+    }
+
     /// A continuation of a job's done tasks appeared or changed.
     pub fn put_chunk(
         &mut self,
--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -15,6 +15,8 @@
     Lease,
     /// Other fences and machines' records.
     Owner,
+    /// Packs of submissions: two writes accept many.
+    Pack,
     /// Users' requests.
     User,
     /// Jobs that are done: their users ask for it some seconds later.
@@ -30,7 +32,7 @@
     fn reserve(self) -> f64 {
         match self {
             Class::Lease => 0.0,
-            Class::Owner => 0.05,
+            Class::Owner | Class::Pack => 0.05,
             Class::User => 0.1,
             Class::Done => 0.25,
             Class::Later => 0.3,
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -3,7 +3,7 @@
 use crate::budget::{Budget, Class};
 use crate::client::{Answer, Client, Failure};
 use pulleywood_wire::cbor;
-use pulleywood_wire::state::{Commit, Events, Granted, Item, Page, Revision, Ttl};
+use pulleywood_wire::state::{Commit, Events, Failed, Granted, Item, Page, Revision, Ttl};
 use pulleywood_wire::{Permit, Stamp};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -93,10 +93,11 @@
     }
 
     /// Takes tokens; classes that can wait do so, briefly.
-    fn take(&self, class: Class, writes: u32) -> Result<(), StateError> {
+    pub fn take(&self, class: Class, writes: u32) -> Result<(), StateError> {
         let patience = match class {
             Class::Lease | Class::Owner => Duration::from_secs(3),
             Class::User | Class::Later => Duration::ZERO,
+            Class::Pack => Duration::from_millis(600),
             Class::Done | Class::House => Duration::from_secs(1),
         };
         let end = Instant::now() + patience;
@@ -177,15 +178,25 @@
     /// Sends a transaction. Every one must be a compare-and-set, since one
     /// without an answer may be applied minutes later.
     pub fn commit(&self, class: Class, commit: &Commit) -> Result<Outcome, StateError> {
-        debug_assert!(commit.is_compare_and_set(), "{commit:?}");
         self.take(class, commit.changes.len() as u32)?;
+        Ok(match self.commit_paid(commit)? {
+            Ok(stamp) => Outcome::Applied(stamp),
+            Err(_) => Outcome::Conflict,
+        })
+    }
+
+    /// As [`StateClient::commit`], with tokens taken before; a conflict names
+    /// the keys that were not as expected.
+    pub fn commit_paid(&self, commit: &Commit) -> Result<Result<Stamp, Vec<String>>, StateError> {
+        debug_assert!(commit.is_compare_and_set(), "{commit:?}");
         let body = cbor::encode(commit);
         let answer = self.send(&self.calls, "POST", "/commit", Some(&body), CALL_TIME)?;
         match answer.status {
-            200 => Ok(Outcome::Applied(Stamp(
-                self.read::<Revision>(&answer)?.ledger,
-            ))),
-            409 => Ok(Outcome::Conflict),
+            200 => Ok(Ok(Stamp(self.read::<Revision>(&answer)?.ledger))),
+            // Whatever it says, nothing was applied.
+            409 => Ok(Err(cbor::decode::<Failed>(&answer.body)
+                .map(|f| f.failed)
+                .unwrap_or_default())),
             400 if commit.changes.iter().any(|c| {
                 matches!(
                     c,
--- a/crates/pulleywood-wire/src/lib.rs
+++ b/crates/pulleywood-wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cloud;
 pub mod ids;
 pub mod job;
+pub mod pack;
 pub mod peer;
 pub mod record;
 pub mod settings;
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -18,6 +18,10 @@
 pub const TERM: &str = "c/term";
 /// Prefix of all live jobs.
 pub const JOBS: &str = "c/job/";
+/// Prefix of all packs of jobs.
+pub const PACKS: &str = "c/pack/";
+/// The head of the packs.
+pub const HEAD: &str = "c/head";
 /// The coordinator's role.
 pub const ROLE: &str = "c/role";
 
@@ -45,6 +49,10 @@
 pub fn chunk_key(p: PartId, job: &JobId, chunk: u32) -> String {
     format!("c/job/{p}/{job}/{chunk}")
 }
+/// Key of a pack of jobs.
+pub fn pack_key(n: u64) -> String {
+    format!("{PACKS}{n}")
+}
 /// Key of a job's final state.
 pub fn over_key(job: &JobId) -> String {
     format!("over/{job}")
@@ -67,6 +75,10 @@
     Grant(PartId),
     /// A machine.
     Machine(MachineId),
+    /// The head of the packs.
+    Head,
+    /// A pack of jobs.
+    Pack(u64),
     /// A live job (chunk 0) or a continuation.
     Job(PartId, JobId, u32),
 }
@@ -81,6 +93,8 @@
             "layout" => Key::Layout,
             "term" => Key::Term,
             "role" => Key::Role,
+            "head" => Key::Head,
+            "pack" => Key::Pack(tail.parse().ok()?),
             "part" => Key::Part(part()?),
             "last" => Key::Last(part()?),
             "grant" => Key::Grant(part()?),
--- a/crates/pulleywood-wire/src/state.rs
+++ b/crates/pulleywood-wire/src/state.rs
@@ -126,6 +126,14 @@
     }
 }
 
+/// A transaction found keys not as it expected.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Failed {
+    /// Those keys.
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
 /// The store's revision.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct Revision {
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -1,11 +1,12 @@
 //! Follows the watched keys, so that every controller's view is fresh and each
 //! owner hears of new and cancelled jobs.
 
-use crate::node::{Shared, View};
+use crate::node::{Shared, read};
 use parking_lot::{Condvar, Mutex};
 use pulleywood_net::{Class, StateError};
-use pulleywood_wire::PartId;
-use pulleywood_wire::record::{LIVE, job_key, machine_key};
+use pulleywood_wire::{JobId, PartId};
+use pulleywood_wire::pack::PackRecord;
+use pulleywood_wire::record::{LIVE, PACKS, job_key, machine_key};
 use pulleywood_wire::state::{Event, Item};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -102,7 +103,7 @@
 }
 
 /// Brings the view up to a moment after this call; whether anything changed.
-fn changes(shared: &Arc<Shared>, class: Class, wait: Duration) -> Result<bool, StateError> {
+pub fn changes(shared: &Arc<Shared>, class: Class, wait: Duration) -> Result<bool, StateError> {
     let from = {
         let node = shared.node.lock();
         if !node.viewed {
@@ -124,7 +125,7 @@
             node.event(event, now);
         }
     }
-    node.view.ledger = known.max(answer.ledger);
+    node.complete(answer.ledger, now);
     node.caught_up = node.caught_up.max(sent);
     drop(node);
     if changed {
@@ -162,18 +163,22 @@
     let mut node = shared.node.lock();
     let first = !node.viewed;
     let before = std::mem::take(&mut node.view);
-    node.view = View {
-        ledger,
-        ..View::default()
-    };
+    node.view.ledger = ledger;
     // Jobs and machines that are gone since are missing from the list.
     let listed: BTreeSet<&str> = items.iter().map(|i| i.path.as_str()).collect();
+    let packed: BTreeSet<JobId> = items
+        .iter()
+        .filter(|i| i.path.starts_with(PACKS))
+        .filter_map(|i| read::<PackRecord>(Some(&i.value), &i.path))
+        .flat_map(|pack| pack.jobs.into_iter().map(|j| j.spec.id))
+        .collect();
     let parts = node.config.parts;
     let held = node.owned.values().filter(|o| o.loaded);
     let gone: BTreeSet<String> = held
         .flat_map(|o| {
-            let jobs = o.ledger.jobs.keys().map(|id| job_key(id.part(parts), id));
-            jobs.chain(o.ledger.machines.keys().map(machine_key))
+            let jobs = o.ledger.jobs.keys().filter(|id| !packed.contains(id));
+            let keys = jobs.map(|id| job_key(id.part(parts), id));
+            keys.chain(o.ledger.machines.keys().map(machine_key))
         })
         .filter(|path| !listed.contains(path.as_str()))
         .collect();
@@ -198,6 +203,7 @@
         };
         node.event(event, now);
     }
+    node.complete(ledger, now);
     let parts = node.view.layout.map_or(0, |l| l.parts);
     for p in (0..parts).map(PartId) {
         if !node.view.parts.contains_key(&p) {
--- /dev/null
+++ b/crates/pulleywood/src/intake.rs
@@ -0,0 +1,246 @@
+//! Submissions that are accepted together, when there are more of them than
+//! tokens for writes.
+
+use crate::follow;
+use crate::node::Shared;
+use parking_lot::{Condvar, Mutex};
+use pulleywood_net::{Class, StateError};
+use pulleywood_wire::Stamp;
+use pulleywood_wire::pack::{PackHead, PackRecord};
+use pulleywood_wire::record::{HEAD, JobRecord, job_key, over_key, pack_key};
+use pulleywood_wire::state::Commit;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A submission waits this long for the transaction that it shares.
+const WAIT: Duration = Duration::from_millis(2500);
+/// Tries to write one pack while others write theirs.
+const TRIES: u32 = 4;
+/// JSON around the records of a pack.
+const FRAME: usize = 64;
+
+/// Submissions that wait.
+#[derive(Default)]
+pub struct Intake {
+    desk: Mutex<Desk>,
+    wake: Condvar,
+    told: Condvar,
+}
+
+#[derive(Default)]
+struct Desk {
+    next: u64,
+    waiting: BTreeMap<u64, Waiting>,
+    verdicts: BTreeMap<u64, Verdict>,
+}
+
+struct Waiting {
+    record: JobRecord,
+    bytes: usize,
+}
+
+/// What became of a submission.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Accepted.
+    Accepted,
+    /// It is known already: look it up.
+    Known,
+    /// Not taken now.
+    Refused(StateError),
+}
+
+/// Room in one pack.
+struct Limits {
+    jobs: usize,
+    bytes: usize,
+}
+
+impl Limits {
+    fn new(shared: &Shared) -> Limits {
+        let state = &shared.settings.cluster.state;
+        // Two conditions a job, two for the head and the pack itself.
+        Limits {
+            jobs: (state.txn_ops as usize * 4).saturating_sub(2) / 2,
+            bytes: (state.value_kb * 1024.0) as usize - FRAME,
+        }
+    }
+}
+
+impl Intake {
+    /// Nobody waits.
+    pub fn is_empty(&self) -> bool {
+        self.desk.lock().waiting.is_empty()
+    }
+
+    /// Has a submission accepted with others. What does not fit into the next
+    /// pack is refused at once.
+    pub fn join(&self, shared: &Shared, record: JobRecord, refused: StateError) -> Verdict {
+        let limits = Limits::new(shared);
+        let bytes = serde_json::to_vec(&record).map_or(usize::MAX, |json| json.len() + 1);
+        let end = Instant::now() + WAIT;
+        let mut desk = self.desk.lock();
+        let taken: usize = desk.waiting.values().map(|w| w.bytes).sum();
+        let full = desk.waiting.len() >= limits.jobs || taken.saturating_add(bytes) > limits.bytes;
+        if full {
+            return Verdict::Refused(refused);
+        }
+        desk.next += 1;
+        let ticket = desk.next;
+        desk.waiting.insert(ticket, Waiting { record, bytes });
+        self.wake.notify_one();
+        loop {
+            if let Some(verdict) = desk.verdicts.remove(&ticket) {
+                return verdict;
+            }
+            if self.told.wait_until(&mut desk, end).timed_out() {
+                desk.verdicts.remove(&ticket);
+                return match desk.waiting.remove(&ticket) {
+                    Some(_) => Verdict::Refused(refused),
+                    // Its transaction is under way; the user's retry will tell.
+                    None => Verdict::Refused(StateError::Unknown("no answer yet".into())),
+                };
+            }
+        }
+    }
+
+    fn tell(&self, tickets: impl IntoIterator<Item = u64>, verdict: impl Fn() -> Verdict) {
+        let mut desk = self.desk.lock();
+        for ticket in tickets {
+            desk.verdicts.insert(ticket, verdict());
+        }
+        // Those whose user no longer waits.
+        let oldest = desk.next.saturating_sub(1000);
+        desk.verdicts = desk.verdicts.split_off(&oldest);
+        drop(desk);
+        self.told.notify_all();
+    }
+}
+
+/// Writes packs; runs for the life of the process.
+pub fn run(shared: &Arc<Shared>) {
+    let intake = &shared.intake;
+    loop {
+        {
+            let mut desk = intake.desk.lock();
+            while desk.waiting.is_empty() {
+                intake.wake.wait(&mut desk);
+            }
+        }
+        // Whoever comes until there are tokens is taken along.
+        let tokens = shared.state.take(Class::Pack, 2);
+        let waiting = std::mem::take(&mut intake.desk.lock().waiting);
+        match tokens {
+            Ok(()) => write_pack(shared, waiting),
+            Err(e) => {
+                let wait = match e {
+                    StateError::Budget(wait) => wait,
+                    _ => Duration::from_secs(1),
+                };
+                intake.tell(waiting.into_keys(), || {
+                    Verdict::Refused(StateError::Budget(wait))
+                });
+            }
+        }
+    }
+}
+
+fn write_pack(shared: &Arc<Shared>, mut waiting: BTreeMap<u64, Waiting>) {
+    let intake = &shared.intake;
+    for attempt in 0..TRIES {
+        let (head, parts) = {
+            let node = shared.node.lock();
+            let known: Vec<u64> = waiting
+                .iter()
+                .filter(|(_, w)| node.is_live(&w.record.spec.id))
+                .map(|(ticket, _)| *ticket)
+                .collect();
+            for ticket in &known {
+                waiting.remove(ticket);
+            }
+            intake.tell(known, || Verdict::Known);
+            (node.view.head, node.config.parts)
+        };
+        // The same job twice in one pack would be two jobs.
+        let mut ids = BTreeSet::new();
+        let twice: Vec<u64> = waiting
+            .iter()
+            .filter(|(_, w)| !ids.insert(w.record.spec.id.clone()))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in &twice {
+            waiting.remove(ticket);
+        }
+        intake.tell(twice, || Verdict::Refused(StateError::Refused(503)));
+        if waiting.is_empty() {
+            return;
+        }
+        if attempt > 0
+            && let Err(StateError::Budget(wait)) = shared.state.take(Class::Pack, 2)
+        {
+            intake.tell(waiting.into_keys(), || {
+                Verdict::Refused(StateError::Budget(wait))
+            });
+            return;
+        }
+        let (last, stamp) = head;
+        let next = PackHead {
+            last: last.last + 1,
+        };
+        let pack = PackRecord {
+            jobs: waiting.values().map(|w| w.record.clone()).collect(),
+        };
+        let key = pack_key(next.last);
+        let mut commit = Commit::default()
+            .when(HEAD, stamp)
+            .write(HEAD, &next)
+            .when(key.clone(), Stamp(0))
+            .write(key, &pack);
+        for id in &ids {
+            commit = commit
+                .when(job_key(id.part(parts), id), Stamp(0))
+                .when(over_key(id), Stamp(0));
+        }
+        match shared.state.commit_paid(&commit) {
+            Ok(Ok(stamp)) => {
+                let now = shared.clock.now();
+                let mut node = shared.node.lock();
+                node.view.head = (next, stamp);
+                node.put_pack(next.last, Some(pack), stamp, now);
+                drop(node);
+                shared.bell.notify_all();
+                log::debug!("accepted {} jobs in pack {}", waiting.len(), next.last);
+                intake.tell(waiting.into_keys(), || Verdict::Accepted);
+                return;
+            }
+            Ok(Err(failed)) => {
+                log::debug!("pack {}: {failed:?} changed", next.last);
+                let known: Vec<u64> = waiting
+                    .iter()
+                    .filter(|(_, w)| {
+                        let id = &w.record.spec.id;
+                        failed.contains(&over_key(id))
+                            || failed.contains(&job_key(id.part(parts), id))
+                    })
+                    .map(|(ticket, _)| *ticket)
+                    .collect();
+                for ticket in &known {
+                    waiting.remove(ticket);
+                }
+                intake.tell(known, || Verdict::Known);
+                // Another pack was written meanwhile: learn of it first.
+                if let Err(e) = follow::changes(shared, Class::User, Duration::ZERO) {
+                    log::debug!("reading the packs: {e}");
+                }
+            }
+            Err(e) => {
+                log::debug!("pack {}: {e}", next.last);
+                break;
+            }
+        }
+    }
+    intake.tell(waiting.into_keys(), || {
+        Verdict::Refused(StateError::Refused(503))
+    });
+}
--- a/crates/pulleywood/src/lib.rs
+++ b/crates/pulleywood/src/lib.rs
@@ -8,6 +8,7 @@
 mod controller;
 mod coordinator;
 mod follow;
+mod intake;
 mod node;
 mod owner;
 mod peers;
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -2,10 +2,12 @@
 
 use crate::clock::Clock;
 use crate::follow::Reads;
+use crate::intake::Intake;
 use parking_lot::{Condvar, Mutex};
 use pulleywood_core::{Config, PartLedger};
 use pulleywood_net::peer::PeerClient;
 use pulleywood_net::{CloudClient, StateClient};
+use pulleywood_wire::pack::{PackHead, PackRecord, Packs};
 use pulleywood_wire::peer::{Digest, PartDigest};
 use pulleywood_wire::record::{
     ChunkRecord, GrantRecord, Holder, JobRecord, Key, Layout, MachineRecord, OverRecord, TaskSet,
@@ -17,7 +19,7 @@
 use pulleywood_wire::{
     JobId, JobSpec, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term, cbor,
 };
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -42,6 +44,8 @@
     pub node: Mutex<Node>,
     /// Rung when the owner's threads have something to do.
     pub bell: Condvar,
+    /// Submissions that wait to be accepted together.
+    pub intake: Intake,
     /// Users' questions that wait for a read.
     pub reads: Reads,
     /// Numbers digests.
@@ -112,6 +116,15 @@
     pub machines: BTreeMap<MachineId, (MachineRecord, Stamp)>,
     /// All live jobs, with how many of their tasks are recorded as done.
     pub jobs: BTreeMap<JobId, u32>,
+    /// Packs of jobs.
+    pub packs: Packs,
+    /// Number of the newest pack, and the stamp of the packs' head.
+    pub head: (PackHead, Stamp),
+    /// Jobs that left their packs by changes not yet all taken: they have a
+    /// record of their own, or are over.
+    left: Vec<(JobId, Stamp)>,
+    /// Live jobs that have a record of their own.
+    own: BTreeSet<JobId>,
 }
 
 /// A part this controller holds.
@@ -151,6 +164,9 @@
     pub owned: BTreeMap<PartId, Owned>,
     /// Others' digests and when they came.
     pub digests: BTreeMap<MemberId, (Digest, Moment)>,
+    /// Jobs that ended by transactions of this controller which the watch is
+    /// yet to bring: an older change that comes before would revive them.
+    pub ended: BTreeMap<JobId, Stamp>,
     /// Processes of other controllers that were followed by newer ones.
     pub former: VecDeque<u64>,
     /// Jobs accepted here lately: when, for which part, how large.
@@ -198,6 +214,7 @@
             caught_up: Moment::default(),
             owned: BTreeMap::new(),
             digests: BTreeMap::new(),
+            ended: BTreeMap::new(),
             former: VecDeque::new(),
             sent: Vec::new(),
         }
@@ -376,6 +393,8 @@
                     }
                 }
             },
+            // Ended here by a later change, which the watch is yet to bring.
+            Key::Job(_, id, _) if self.ended.get(&id).is_some_and(|at| *at >= stamp) => {}
             Key::Job(_, id, chunk) => {
                 let config = Arc::clone(&self.config);
                 let entry: Option<JobEntry> = match (value, chunk) {
@@ -388,22 +407,68 @@
                 match &entry {
                     JobEntry::Gone => {
                         self.view.jobs.remove(&id);
+                        self.view.own.remove(&id);
                     }
+                    JobEntry::Packed(_) => {}
                     JobEntry::Record(record) => {
+                        self.view.own.insert(id.clone());
                         let mut done = TaskSet::new();
                         done.add_chunk(&record.done, 0, config.chunk, record.spec.tasks);
                         self.view.jobs.insert(id.clone(), done.len());
                     }
                     JobEntry::Chunk(..) => {}
                 }
-                for owned in self.owned.values_mut() {
-                    if owned.loaded {
-                        owned.job_event(&id, &entry, stamp, false, now, &config);
-                    } else {
-                        owned.held.push((id.clone(), entry.clone(), stamp));
-                    }
-                }
+                self.tell_parts(&id, &entry, stamp, now);
+            }
+            Key::Head => self.view.head = (read(value, &path).unwrap_or_default(), stamp),
+            Key::Pack(n) => {
+                let record: Option<PackRecord> = match value {
+                    None => None,
+                    Some(_) => match read(value, &path) {
+                        Some(record) => Some(record),
+                        None => return,
+                    },
+                };
+                self.put_pack(n, record, stamp, now);
+            }
+        }
+    }
+
+    fn tell_parts(&mut self, id: &JobId, entry: &JobEntry, stamp: Stamp, now: Moment) {
+        let config = Arc::clone(&self.config);
+        for owned in self.owned.values_mut() {
+            if owned.loaded {
+                owned.job_event(id, entry, stamp, false, now, &config);
+            } else {
+                owned.held.push((id.clone(), entry.clone(), stamp));
+            }
+        }
+    }
+
+    /// A pack as stored, or its end.
+    pub fn put_pack(&mut self, n: u64, record: Option<PackRecord>, stamp: Stamp, now: Moment) {
+        let (new, left) = self.view.packs.put(n, record, stamp);
+        for record in new {
+            let id = record.spec.id.clone();
+            if self.ended.get(&id).is_some_and(|at| *at >= stamp) {
+                continue;
             }
+            self.view.jobs.entry(id.clone()).or_insert(0);
+            self.tell_parts(&id, &JobEntry::Packed(Box::new(record)), stamp, now);
+        }
+        self.view.left.extend(left.into_iter().map(|id| (id, stamp)));
+    }
+
+    /// All changes of some revisions have been taken: a job that left its pack
+    /// and has no record of its own is over. Its record may come before or
+    /// after the pack's change, though both are of one transaction.
+    pub fn settle_packs(&mut self, now: Moment) {
+        for (id, stamp) in std::mem::take(&mut self.view.left) {
+            if self.view.own.contains(&id) || self.view.packs.find(&id).is_some() {
+                continue;
+            }
+            self.view.jobs.remove(&id);
+            self.tell_parts(&id, &JobEntry::Gone, stamp, now);
         }
     }
 
@@ -413,6 +478,38 @@
             .retain(|p, owned| *p != part || owned.stamp >= stamp);
     }
 
+    /// A transaction of this controller ended a job.
+    pub fn end_job(&mut self, id: &JobId, stamp: Stamp) {
+        self.ended.insert(id.clone(), stamp);
+        self.view.jobs.remove(id);
+        self.view.own.remove(id);
+        for owned in self.owned.values_mut() {
+            owned.ledger.drop_job(id);
+        }
+    }
+
+    /// A transaction of this controller took jobs out of packs.
+    pub fn left_packs(&mut self, packs: Vec<(u64, Option<PackRecord>)>, stamp: Stamp, now: Moment) {
+        for (n, record) in packs {
+            self.put_pack(n, record, stamp, now);
+        }
+        self.settle_packs(now);
+    }
+
+    /// A job has a record of its own.
+    pub fn own_record(&mut self, id: &JobId) {
+        self.view.own.insert(id.clone());
+    }
+
+    /// The view is complete up to this revision.
+    pub fn complete(&mut self, ledger: u64, now: Moment) {
+        self.settle_packs(now);
+        self.view.ledger = self.view.ledger.max(ledger);
+        let upto = self.view.ledger;
+        self.view.packs.forget(upto);
+        self.ended.retain(|_, at| at.0 > upto);
+    }
+
     /// A part's grants as stored.
     pub fn put_grant(&mut self, p: PartId, record: GrantRecord, stamp: Stamp) {
         if self.view.grants.get(&p).is_some_and(|(_, s)| *s >= stamp) {
@@ -449,9 +546,16 @@
         self.view.machines.insert(id.clone(), (record, stamp));
     }
 
+    /// A job is live.
+    pub fn is_live(&self, id: &JobId) -> bool {
+        self.view.jobs.contains_key(id)
+    }
+
     /// A job accepted here is told to its part at once if that is here too.
     pub fn put_job(&mut self, record: &JobRecord, stamp: Stamp, now: Moment) {
         let config = Arc::clone(&self.config);
+        self.view.jobs.entry(record.spec.id.clone()).or_insert(0);
+        self.view.own.insert(record.spec.id.clone());
         if let Some(owned) = self.owned.get_mut(&record.part).filter(|o| o.loaded) {
             owned.ledger.put_job(record, stamp, false, now, &config);
         }
@@ -521,6 +625,8 @@
 pub enum JobEntry {
     /// The live record.
     Record(Box<JobRecord>),
+    /// As it was accepted, in a pack.
+    Packed(Box<JobRecord>),
     /// A continuation.
     Chunk(u32, ChunkRecord),
     /// The job is over.
@@ -540,6 +646,7 @@
     ) {
         match entry {
             JobEntry::Record(record) => self.ledger.put_job(record, stamp, old, now, config),
+            JobEntry::Packed(record) => self.ledger.put_packed(record, stamp, old, now, config),
             JobEntry::Chunk(n, record) => self.ledger.put_chunk(id, *n, record, stamp, config),
             JobEntry::Gone => {
                 if self.ledger.jobs.get(id).is_some_and(|j| j.stamp < stamp) {
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -7,15 +7,16 @@
 use pulleywood_core::{PartLedger, grants};
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError, cloud};
+use pulleywood_wire::pack::PackRecord;
 use pulleywood_wire::peer::Demand;
 use pulleywood_wire::record::{
-    Holder, JOBS, Key, LAYOUT, LastHolder, Layout, TERM, TermRecord, grant_key, job_key, last_key,
+    Holder, JOBS, Key, LAYOUT, LastHolder, Layout, PACKS, TERM, TermRecord, grant_key, job_key, last_key,
     machine_key, part_key,
 };
 use pulleywood_wire::state::{Commit, Item};
 use pulleywood_wire::worker::Direct;
 use pulleywood_wire::{JobId, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -392,12 +393,16 @@
 
 /// Reads a part's machines and jobs, then introduces the new term.
 fn load(shared: &Arc<Shared>, part: PartId, part_stamp: Stamp) -> Result<(), StateError> {
-    let (jobs, machines) = loop {
-        let jobs = shared.state.list(Class::Owner, JOBS);
-        let machines =
-            jobs.and_then(|jobs| Ok((jobs, shared.state.list(Class::Owner, "c/machine/")?)));
-        match machines {
-            Ok((jobs, machines)) => break (jobs, machines),
+    // Packs first: a job that leaves its pack meanwhile is found in the rest.
+    let read_all = || {
+        let packs = shared.state.list(Class::Owner, PACKS)?;
+        let jobs = shared.state.list(Class::Owner, JOBS)?;
+        Ok((packs, jobs, shared.state.list(Class::Owner, "c/machine/")?))
+    };
+    let (packs, jobs, machines) = loop {
+        match read_all() {
+            Ok(all) => break all,
+            Err(StateError::TooOld) => return Ok(()),
             Err(e) => {
                 log::debug!("reading part {part}: {e}");
                 std::thread::sleep(Duration::from_millis(200));
@@ -436,6 +441,14 @@
             owned.ledger.machines.remove(&id);
             owned.ledger.put_machine(&id, record, item.stamp, true, now);
         }
+        for item in &packs.0 {
+            let pack: PackRecord = read(Some(&item.value), &item.path).unwrap_or_default();
+            for record in pack.jobs {
+                let id = record.spec.id.clone();
+                let entry = JobEntry::Packed(Box::new(record));
+                owned.job_event(&id, &entry, item.stamp, true, now, &config);
+            }
+        }
         // Continuations sort after their job's record.
         for item in &jobs.0 {
             if let Some((id, entry)) = job_entry(item) {
@@ -444,7 +457,7 @@
         }
         owned.loaded = true;
         for (id, entry, stamp) in std::mem::take(&mut owned.held) {
-            if stamp.0 > jobs.1 {
+            if stamp.0 > packs.1 {
                 owned.job_event(&id, &entry, stamp, false, now, &config);
             }
         }
@@ -728,7 +741,10 @@
         node.owned
             .get(&part)
             .filter(|_| node.may_act(now))
-            .and_then(|o| Some((o.ledger.batch(o.stamp, now, config)?, o.stamp)))
+            .and_then(|o| {
+                let packs = &node.view.packs;
+                Some((o.ledger.batch(o.stamp, packs, now, config)?, o.stamp))
+            })
     };
     let Some((batch, part_stamp)) = batch else {
         return;
@@ -739,6 +755,14 @@
             if let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) {
                 owned.ledger.batch_applied(&batch, stamp);
             }
+            for job in &batch.jobs {
+                match job.over {
+                    true => node.end_job(&job.id, stamp),
+                    false => node.own_record(&job.id),
+                }
+            }
+            node.left_packs(batch.packs, stamp, now);
+            drop(node);
             for job in &batch.jobs {
                 let (id, n) = (&job.id, job.tasks.len());
                 let all = if job.over { ", all of them" } else { "" };
@@ -748,7 +772,15 @@
         // A conflict, or no answer: what is stored decides, not what was sent.
         Ok(Outcome::Conflict) | Err(StateError::Unknown(_)) => {
             log::debug!("part {part}: done batch not confirmed, reading again");
-            for job in &batch.jobs {
+            // What is in a pack is told by the watch.
+            let packed = |id: &JobId| {
+                let node = shared.node.lock();
+                let owned = node.owned.get(&part);
+                owned
+                    .and_then(|o| o.ledger.jobs.get(id))
+                    .is_some_and(|j| j.packed)
+            };
+            for job in batch.jobs.iter().filter(|j| !packed(&j.id)) {
                 if let Err(e) = refresh_job(shared, part, part_stamp, &job.id) {
                     log::debug!("reading {}: {e}", job.id);
                 }
@@ -799,6 +831,7 @@
             return false;
         }
         let config = Arc::clone(&node.config);
+        let node = &mut *node;
         let Some(owned) = node.owned.get_mut(&from).filter(|o| o.loaded && !o.leaving) else {
             return false;
         };
@@ -811,22 +844,34 @@
             let mut record = job.record(job.committed.chunk_text(0, config.chunk));
             record.lend(to, zone.as_deref(), &tasks);
             let key = job_key(id.part(config.parts), &id);
-            let commit = Commit::default()
+            let mut commit = Commit::default()
                 .when(part_key(from), owned.stamp)
-                .when(key.clone(), job.stamp)
+                .when(key.clone(), if job.packed { Stamp(0) } else { job.stamp })
                 .write(key, &record);
-            commits.push((id, record, commit));
+            let mut packs = Vec::new();
+            if job.packed {
+                let out = BTreeSet::from([id.clone()]);
+                (commit, packs) = node.view.packs.take_out(commit, &out);
+                if packs.is_empty() {
+                    // It has left its pack; the watch is about to say how.
+                    owned.ledger.withdraw_offer(&id);
+                    continue;
+                }
+            }
+            commits.push((id, record, commit, packs));
         }
         commits
     };
     let mut lent = false;
-    for (id, record, commit) in prepared {
+    for (id, record, commit, packs) in prepared {
         let outcome = shared.state.commit(Class::Owner, &commit);
         let now = shared.clock.now();
         let mut node = shared.node.lock();
         match outcome {
             Ok(Outcome::Applied(stamp)) => {
                 let config = Arc::clone(&node.config);
+                node.own_record(&id);
+                node.left_packs(packs, stamp, now);
                 for owned in node.owned.values_mut().filter(|o| o.loaded) {
                     owned.ledger.put_job(&record, stamp, false, now, &config);
                 }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -4,6 +4,7 @@
 //! request; only final states are remembered.
 
 use crate::clock::time_of_day_ms;
+use crate::intake::Verdict;
 use crate::node::{Shared, read};
 use pulleywood_core::Config;
 use pulleywood_core::room::Room;
@@ -12,17 +13,19 @@
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::job::JobAnswer;
 use pulleywood_wire::record::{
-    ChunkRecord, JobRecord, Key, OverRecord, TaskSet, job_key, over_key,
+    ChunkRecord, HEAD, JobRecord, Key, OverRecord, TaskSet, job_key, over_key,
 };
 use pulleywood_wire::state::Commit;
-use pulleywood_wire::{JobId, JobSpec, JobStatus, Moment, PartId, Rank, Stamp, cbor};
+use pulleywood_wire::{JobId, JobSpec, JobStatus, PartId, Rank, Stamp, cbor};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// A job as stored.
 enum Stored {
-    Live(Box<JobRecord>, Stamp),
+    /// Live, with this many tasks recorded as done.
+    Live(u32),
     Over(OverRecord),
     Unknown,
 }
@@ -41,17 +44,18 @@
     }
 }
 
-fn lookup(shared: &Shared, part: PartId, id: &JobId) -> Result<Stored, StateError> {
+/// What is stored of a job. Another controller may have told its user more
+/// than this one has seen: what is not final rests on a read begun after the
+/// question came.
+fn lookup(shared: &Shared, id: &JobId) -> Result<Stored, StateError> {
     if let Some(over) = shared.finals.lock().get(id) {
         return Ok(Stored::Over(over));
     }
-    // Live first: a job moves from live to over in one transaction.
-    let key = job_key(part, id);
-    if let Some(item) = shared.state.get(Class::User, &key)?
-        && let Some(record) = read(Some(&item.value), &key)
-    {
-        return Ok(Stored::Live(Box::new(record), item.stamp));
+    shared.reads.fresh()?;
+    if let Some(done) = shared.node.lock().view.jobs.get(id) {
+        return Ok(Stored::Live(*done));
     }
+    // Not live at that read: if it is not over now, it was not known then.
     Ok(match over(shared, id)? {
         Some(over) => Stored::Over(over),
         None => Stored::Unknown,
@@ -83,12 +87,7 @@
                 running: 0,
             },
         ),
-        Stored::Live(record, _) => {
-            let mut done = TaskSet::new();
-            let chunk = shared.node.lock().config.chunk;
-            done.add_chunk(&record.done, 0, chunk, record.spec.tasks);
-            progress(shared, id, done.len())
-        }
+        Stored::Live(done) => progress(shared, id, *done),
     }
 }
 
@@ -153,7 +152,7 @@
     let part = id.part(parts);
     if let Some(why) = config.never_runs(&spec) {
         // A job accepted once is never refused later.
-        return match lookup(shared, part, &id) {
+        return match lookup(shared, &id) {
             Ok(Stored::Unknown) => {
                 log::info!("{id} refused: {why}");
                 Response::status(422)
@@ -173,42 +172,27 @@
         done: String::new(),
         spec,
     };
-    let key = job_key(part, &id);
-    let commit = Commit::default()
-        .when(key.clone(), Stamp(0))
-        .when(over_key(&id), Stamp(0))
-        .write(key, &record);
-    // At a burst, work that others come before leaves them the tokens.
-    let class = match record.spec.rank {
-        Rank::Production | Rank::Urgent => Class::User,
-        Rank::Standard | Rank::Idle => Class::Later,
+    let verdict = match accept(shared, part, &record) {
+        Verdict::Refused(e @ StateError::Budget(_)) => shared.intake.join(shared, record, e),
+        verdict => verdict,
     };
-    match shared.state.commit(class, &commit) {
-        Ok(Outcome::Applied(stamp)) => {
-            let now: Moment = shared.clock.now();
-            shared.node.lock().put_job(&record, stamp, now);
-            log::debug!(
-                "accepted {id}: {} tasks of {}",
-                record.spec.tasks,
-                record.spec.team
-            );
-            Response::cbor(
-                201,
-                &JobAnswer {
-                    uid: id,
-                    status: JobStatus::Queued,
-                    done: 0,
-                    running: 0,
-                },
-            )
-        }
-        Ok(Outcome::Conflict) => match lookup(shared, part, &id) {
+    match verdict {
+        Verdict::Accepted => Response::cbor(
+            201,
+            &JobAnswer {
+                uid: id,
+                status: JobStatus::Queued,
+                done: 0,
+                running: 0,
+            },
+        ),
+        Verdict::Known => match lookup(shared, &id) {
             Ok(Stored::Unknown) => Response::later(503, 1),
             Ok(stored) => answer(shared, &id, &stored),
             Err(e) => later(&e),
         },
         // It may have been accepted; the user's retry will tell.
-        Err(e) => {
+        Verdict::Refused(e) => {
             log::debug!("submission of {id}: {e}");
             if matches!(e, StateError::Budget(_)) {
                 shared
@@ -220,27 +204,58 @@
     }
 }
 
+/// Accepts one job by itself, if there are tokens and nobody else waits for
+/// them.
+fn accept(shared: &Shared, part: PartId, record: &JobRecord) -> Verdict {
+    let id = &record.spec.id;
+    if !shared.intake.is_empty() {
+        return Verdict::Refused(StateError::Budget(Duration::from_secs(1)));
+    }
+    // At a burst, work that others come before leaves them the tokens.
+    let class = match record.spec.rank {
+        Rank::Production | Rank::Urgent => Class::User,
+        Rank::Standard | Rank::Idle => Class::Later,
+    };
+    let head = {
+        let node = shared.node.lock();
+        if node.is_live(id) {
+            return Verdict::Known;
+        }
+        node.view.head.1
+    };
+    let key = job_key(part, id);
+    let commit = Commit::default()
+        .when(HEAD, head)
+        .when(key.clone(), Stamp(0))
+        .when(over_key(id), Stamp(0))
+        .write(key, record);
+    if let Err(e) = shared.state.take(class, 1) {
+        return Verdict::Refused(e);
+    }
+    match shared.state.commit_paid(&commit) {
+        Ok(Ok(stamp)) => {
+            let now = shared.clock.now();
+            shared.node.lock().put_job(record, stamp, now);
+            let (tasks, team) = (record.spec.tasks, &record.spec.team);
+            log::debug!("accepted {id}: {tasks} tasks of {team}");
+            Verdict::Accepted
+        }
+        // A pack was written meanwhile, perhaps with this very job.
+        Ok(Err(failed)) if failed.iter().all(|key| key == HEAD) => {
+            Verdict::Refused(StateError::Budget(Duration::from_secs(1)))
+        }
+        Ok(Err(_)) => Verdict::Known,
+        Err(e) => Verdict::Refused(e),
+    }
+}
+
 /// `GET /v2/runs/{id}`
 pub fn poll(shared: &Arc<Shared>, id: &str) -> Response {
     let Some(id) = JobId::parse(id) else {
         return Response::status(404);
     };
-    if let Some(over) = shared.finals.lock().get(&id) {
-        return answer(shared, &id, &Stored::Over(over));
-    }
-    // Another controller may have told its user more than this one has seen:
-    // what is not final rests on a read begun after the question came.
-    if let Err(e) = shared.reads.fresh() {
-        return later(&e);
-    }
-    let live = shared.node.lock().view.jobs.get(&id).copied();
-    if let Some(done) = live {
-        return progress(shared, &id, done);
-    }
-    // Not live at that read: if it is not over now, it was not known then.
-    match over(shared, &id) {
-        Ok(Some(over)) => answer(shared, &id, &Stored::Over(over)),
-        Ok(None) => Response::status(404),
+    match lookup(shared, &id) {
+        Ok(stored) => answer(shared, &id, &stored),
         Err(e) => later(&e),
     }
 }
@@ -253,20 +268,16 @@
     let Some(parts) = layout(shared) else {
         return Response::later(503, 1);
     };
-    let part = id.part(parts);
     for _ in 0..4 {
-        let (record, stamp) = match lookup(shared, part, &id) {
-            Ok(Stored::Live(record, stamp)) => (record, stamp),
+        match lookup(shared, &id) {
+            Ok(Stored::Live(_)) => {}
             Ok(stored) => return answer(shared, &id, &stored),
             Err(e) => return later(&e),
-        };
-        match withdraw(shared, part, &id, &record, stamp) {
+        }
+        match withdraw(shared, id.part(parts), &id) {
             Ok(Some(over)) => {
                 log::debug!("cancelled {id}");
                 shared.finals.lock().put(&id, over.clone());
-                for owned in shared.node.lock().owned.values_mut() {
-                    owned.ledger.drop_job(&id);
-                }
                 return answer(shared, &id, &Stored::Over(over));
             }
             // A done batch came in between: look again.
@@ -280,34 +291,50 @@
     Response::later(503, 1)
 }
 
-/// Deletes the live record with its continuations and writes the final state.
-fn withdraw(
-    shared: &Shared,
-    part: PartId,
-    id: &JobId,
-    record: &JobRecord,
-    stamp: Stamp,
-) -> Result<Option<OverRecord>, StateError> {
-    let chunk = shared.node.lock().config.chunk;
-    let tasks = record.spec.tasks;
-    let mut done = TaskSet::new();
-    done.add_chunk(&record.done, 0, chunk, tasks);
+/// Deletes the live record with its continuations, or takes the job out of
+/// its pack, and writes the final state.
+fn withdraw(shared: &Shared, part: PartId, id: &JobId) -> Result<Option<OverRecord>, StateError> {
     let key = job_key(part, id);
-    let mut commit = Commit::default()
-        .when(key.clone(), stamp)
-        .when(over_key(id), Stamp(0))
-        .delete(key.clone());
-    if tasks > chunk {
-        let (items, _) = shared.state.list(Class::User, &format!("{key}/"))?;
-        for item in items {
-            if let Some(Key::Job(_, _, n)) = Key::parse(&item.path)
-                && let Some(more) = read::<ChunkRecord>(Some(&item.value), &item.path)
-            {
-                done.add_chunk(&more.done, n, chunk, tasks);
-                commit = commit.when(item.path.clone(), item.stamp).delete(item.path);
+    let commit = Commit::default().when(over_key(id), Stamp(0));
+    let (chunk, packed, mut commit, packs) = {
+        let node = shared.node.lock();
+        let (commit, packs) = node
+            .view
+            .packs
+            .take_out(commit, &BTreeSet::from([id.clone()]));
+        let packed = node.view.packs.record(id).cloned();
+        (node.config.chunk, packed, commit, packs)
+    };
+    let mut done = TaskSet::new();
+    let record = match packed {
+        Some(record) => {
+            commit = commit.when(key, Stamp(0));
+            record
+        }
+        None => {
+            let Some(item) = shared.state.get(Class::User, &key)? else {
+                return Ok(None);
+            };
+            let Some(record) = read::<JobRecord>(Some(&item.value), &key) else {
+                return Ok(None);
+            };
+            let tasks = record.spec.tasks;
+            done.add_chunk(&record.done, 0, chunk, tasks);
+            commit = commit.when(key.clone(), item.stamp).delete(key.clone());
+            if tasks > chunk {
+                let (items, _) = shared.state.list(Class::User, &format!("{key}/"))?;
+                for item in items {
+                    if let Some(Key::Job(_, _, n)) = Key::parse(&item.path)
+                        && let Some(more) = read::<ChunkRecord>(Some(&item.value), &item.path)
+                    {
+                        done.add_chunk(&more.done, n, chunk, tasks);
+                        commit = commit.when(item.path.clone(), item.stamp).delete(item.path);
+                    }
+                }
             }
+            record
         }
-    }
+    };
     let over = OverRecord {
         status: JobStatus::Cancelled,
         done: done.len(),
@@ -315,10 +342,16 @@
         slots: Room::of_task(&record.spec).slots(),
     };
     let commit = commit.write(over_key(id), &over);
-    Ok(match shared.state.commit(Class::User, &commit)? {
-        Outcome::Applied(_) => Some(over),
-        Outcome::Conflict => None,
-    })
+    match shared.state.commit(Class::User, &commit)? {
+        Outcome::Applied(stamp) => {
+            let now = shared.clock.now();
+            let mut node = shared.node.lock();
+            node.end_job(id, stamp);
+            node.left_packs(packs, stamp, now);
+            Ok(Some(over))
+        }
+        Outcome::Conflict => Ok(None),
+    }
 }
 
 /// `GET /ready`: ready in a general outage, since leaving and coming back
