--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -155,8 +155,8 @@
                     (true, None) => 2 + job.chunk_stamps.len(),
                     (false, _) => chunks.len(),
                 };
-            let full = commit.changes.len() + touched.len() + ops > config.batch_ops
-                || bytes > MAX_BYTES;
+            let full =
+                commit.changes.len() + touched.len() + ops > config.batch_ops || bytes > MAX_BYTES;
             if full && !jobs.is_empty() {
                 break;
             }
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -57,6 +57,11 @@
 }
 
 impl Memory {
+    /// A machine was not moved after all.
+    pub fn not_moved(&mut self, id: &MachineId) {
+        self.moved.remove(id);
+    }
+
     /// A rental was refused: back off by type, zone and kind.
     pub fn refused(&mut self, kind: &Kind, now: Moment) {
         let times = self.refused.get(kind).map_or(0, |(times, _)| *times);
@@ -97,7 +102,8 @@
         });
     }
 
-    fn open(&self, kind: &Kind, now: Moment) -> bool {
+    /// Whether this kind may be asked for: it was not refused lately.
+    pub fn open(&self, kind: &Kind, now: Moment) -> bool {
         self.refused
             .get(kind)
             .is_none_or(|(_, until)| now >= *until)
@@ -245,8 +251,8 @@
 /// up, and is counted on no more.
 const LATE_BOOT: f64 = 1.7;
 
-/// Most machines that one request rents.
-const MAX_HIRE: u32 = 50;
+/// Most machines of one kind that one round rents.
+const MAX_HIRE: u32 = 200;
 
 /// One round of decisions.
 pub fn decide(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
@@ -419,7 +425,7 @@
         left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         // The rest is rented.
         let mut guard = 0;
-        while left > 0 && guard < 200 {
+        while left > 0 && guard < MAX_HIRE {
             guard += 1;
             let Some((kind, flavor)) = cheapest(config, memory, demand, &need, now, &hires) else {
                 break;
@@ -543,6 +549,16 @@
         for _ in 0..n {
             bin.free -= *need;
         }
+        // Room on machines that are still to come yields too: without that,
+        // one more was rented in each round for the next service job as long
+        // as any array work waited.
+        if n > 0 {
+            let mut sum = Room::default();
+            for _ in 0..n {
+                sum += *need;
+            }
+            bin.held.push((demand.rank, sum));
+        }
         bin.taken += n;
         left -= n;
     }
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -14,6 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Tasks of a job that begin when it has waited long enough.
+const FIRST: u32 = 8;
 /// A task stopped for a higher rank makes room in about this many seconds.
 const YIELD_S: f64 = 6.0;
 /// Most tasks of a job that one plan leaves for room which yields.
@@ -115,6 +117,10 @@
     /// more waits than fits, this keeps the most promises.
     worth: f64,
     at_ms: u64,
+    /// How many of its tasks this turn places.
+    most: u32,
+    /// An earlier turn of the same plan may have placed some.
+    again: bool,
 }
 
 /// Tasks a second that end on machines which have the job's image.
@@ -138,6 +144,7 @@
         let mut used = self.used(config);
         let mut unplaced: Vec<JobId> = Vec::new();
         let mut ahead = 0;
+        let mut kept = false;
         let mut queues = self.queues(now, config);
         while let Some(team) = self.next_team(&queues, &used, config) {
             let Some(queue) = queues.get_mut(&team) else {
@@ -147,7 +154,13 @@
                 queues.remove(&team);
                 continue;
             };
-            if !self.place(&turn.id, &mut sites, &mut used, &mut ahead, config) {
+            if self.place(&turn, &mut sites, &mut used, &mut ahead, config) {
+                continue;
+            }
+            if turn.worth == f64::INFINITY && !kept {
+                kept = self.keep_room(&turn.id, &mut sites);
+            }
+            if !turn.again {
                 unplaced.push(turn.id);
             }
         }
@@ -219,12 +232,29 @@
             if job.waiting.is_empty() || now < job.held_until || self.may_run_unseen(job) {
                 continue;
             }
-            queues.entry(job.spec.team.clone()).or_default().push(Turn {
+            let turn = |worth, most, again| Turn {
                 id: id.clone(),
                 rank: job.spec.rank,
-                worth: self.worth(job, now, config),
+                worth,
                 at_ms: job.at_ms,
-            });
+                most,
+                again,
+            };
+            let queue = queues.entry(job.spec.team.clone()).or_default();
+            // Nobody waits for ever to begin, however much comes in: large jobs
+            // lose by worth to small ones, which kept some from their first
+            // task for seven minutes.
+            let begun = !job.active.is_empty() || !job.done.is_empty();
+            let age = now.since(self.submitted(job)).as_secs_f64();
+            let first = !begun && age > config.policy.patience_s;
+            if first && job.spec.shape == Shape::Gang {
+                queue.push(turn(f64::INFINITY, u32::MAX, false));
+                continue;
+            }
+            if first {
+                queue.push(turn(f64::INFINITY, FIRST, false));
+            }
+            queue.push(turn(self.worth(job, now, config), u32::MAX, first));
         }
         for queue in queues.values_mut() {
             queue.sort_by(|a, b| {
@@ -241,9 +271,9 @@
     fn worth(&self, job: &Job, now: Moment, config: &Config) -> f64 {
         let age = now.since(self.submitted(job));
         let (open, longest) = config.expectations(&job.spec, age);
-        // Nobody waits for ever, however much comes in.
+        // Nor does what has begun wait for ever for its end.
         if age.as_secs_f64() > 3.0 * longest {
-            return f64::INFINITY;
+            return f64::MAX;
         }
         let work = f64::from(job.waiting.len()) * job.spec.estimate_s.0.max(1.0);
         f64::from(open) / work
@@ -301,21 +331,74 @@
         )
     }
 
+    /// Keeps the rest of one machine free for a job that has waited long enough
+    /// and fits nowhere: as tasks end there, its room grows until a task fits.
+    /// Without it, smaller tasks would take each piece that comes free.
+    fn keep_room(&self, id: &JobId, sites: &mut [Site]) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let need = Room::of_task(&job.spec);
+        let zones = self.by_zone(job);
+        let Some(index) = job.waiting.iter().next() else {
+            return false;
+        };
+        let lasting = |site: &Site| {
+            let mut room = site.whole;
+            let slots = self.machines.get(&site.id).map(|m| &m.slots);
+            for slot in slots.into_iter().flatten().filter(|s| s.holds_room()) {
+                match &slot.spec {
+                    Some(spec) if spec.shape == Shape::Service => room -= Room::of_task(spec),
+                    _ => {}
+                }
+            }
+            room
+        };
+        let best = sites
+            .iter_mut()
+            .filter(|s| {
+                s.allows(&job.spec)
+                    && !job.failed_on.contains(&s.id)
+                    && zone_allows(job, &zones, index, &s.zone)
+                    && lasting(s).fits(&need)
+            })
+            .min_by(|a, b| {
+                let used = |s: &Site| s.free.used_of(&s.whole);
+                used(a).total_cmp(&used(b)).then(a.id.cmp(&b.id))
+            });
+        let Some(site) = best else {
+            return false;
+        };
+        site.free = Room::default();
+        true
+    }
+
     /// Plans as many of a job's waiting tasks as fit; whether all did.
     fn place(
         &mut self,
-        id: &JobId,
+        turn: &Turn,
         sites: &mut [Site],
         used: &mut BTreeMap<String, Slots>,
         ahead: &mut u32,
         config: &Config,
     ) -> bool {
+        let id = &turn.id;
         let Some(job) = self.jobs.get(id) else {
             return true;
         };
         let spec = &job.spec;
         let need = Room::of_task(spec);
         let mut zones = self.by_zone(job);
+        // What an earlier turn of this plan has placed.
+        let mut planned: BTreeSet<u32> = BTreeSet::new();
+        for site in sites.iter().filter(|_| turn.again) {
+            for task in self.plan.get(&site.id).into_iter().flatten() {
+                if &task.job == id {
+                    planned.insert(task.index);
+                    *zones.entry(site.zone.clone()).or_insert(0) += 1;
+                }
+            }
+        }
         if spec.shape == Shape::Gang {
             // All or nothing: a part of a gang would only wait for the rest.
             let room: u32 = sites
@@ -331,7 +414,8 @@
         let mut all = true;
         let mut warm = None;
         let mut passed = 0;
-        for index in job.waiting.iter() {
+        let waiting = job.waiting.iter().filter(|i| !planned.contains(i));
+        for index in waiting.take(turn.most as usize) {
             if !self.granted(spec, used, config) {
                 // More room would not help.
                 return true;
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -59,6 +59,7 @@
             overflow: 1.0,
             idle_s: 60.0,
             spot_bias_s: 30.0,
+            patience_s: 60.0,
             sick_jobs: 2,
         },
     }
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -191,7 +191,10 @@
     let report = seen(2, &mut b);
     assert!(!b.turn(&report, 2.0).contains(&clear));
     assert!(b.ledger.direct_orders(&machine(0)).is_empty());
-    let batch = b.ledger.batch(Stamp(9), &Packs::default(), at(60.0), &b.config).unwrap();
+    let batch = b
+        .ledger
+        .batch(Stamp(9), &Packs::default(), at(60.0), &b.config)
+        .unwrap();
     assert!(batch.commit.is_compare_and_set());
     assert!(
         batch
@@ -204,7 +207,11 @@
     b.ledger.batch_applied(&batch, Stamp(10));
     let report = seen(3, &mut b);
     assert!(b.turn(&report, 3.0).contains(&clear));
-    assert!(b.ledger.batch(Stamp(9), &Packs::default(), at(60.0), &b.config).is_none());
+    assert!(
+        b.ledger
+            .batch(Stamp(9), &Packs::default(), at(60.0), &b.config)
+            .is_none()
+    );
 }
 
 #[test]
@@ -335,7 +342,11 @@
     let ended = b.report(0, 2, vec![exited(&t, a, Cause::Done)]);
     let orders = b.turn(&ended, 2.0);
     assert_eq!(launches(&orders).len(), 1);
-    assert!(b.ledger.batch(Stamp(1), &Packs::default(), at(60.0), &b.config).is_none());
+    assert!(
+        b.ledger
+            .batch(Stamp(1), &Packs::default(), at(60.0), &b.config)
+            .is_none()
+    );
 }
 
 #[test]
@@ -471,7 +482,9 @@
         report.notice_s = notice.then_some(pulleywood_wire::cbor::Amount(20.0));
         b.turn(&report, 10.0);
         b.ledger.tick(at(10.0), &b.config);
-        let batch = b.ledger.batch(Stamp(9), &Packs::default(), at(10.0 + s), &b.config);
+        let batch = b
+            .ledger
+            .batch(Stamp(9), &Packs::default(), at(10.0 + s), &b.config);
         assert_eq!(batch.is_some(), recorded, "{name}");
     }
 }
--- a/crates/pulleywood-standins/src/lib.rs
+++ b/crates/pulleywood-standins/src/lib.rs
@@ -5,11 +5,13 @@
 //! records what must never happen.
 
 pub mod cloud;
+pub mod relay;
 pub mod state;
 pub mod worker;
 pub mod world;
 
 pub use cloud::Cloud;
+pub use relay::Relay;
 pub use state::{Fault, Front, StateService};
 pub use world::World;
 
--- /dev/null
+++ b/crates/pulleywood-standins/src/relay.rs
@@ -0,0 +1,76 @@
+//! The network between two controllers, which can be cut.
+
+use crate::loopback;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Passes connections on to one address until it is cut.
+#[derive(Debug)]
+pub struct Relay {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+impl Relay {
+    /// Starts one.
+    pub fn start(to: SocketAddr) -> std::io::Result<Relay> {
+        let listener = TcpListener::bind(loopback())?;
+        let addr = listener.local_addr()?;
+        let cut = Arc::new(AtomicBool::new(false));
+        let own = Arc::clone(&cut);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let cut = Arc::clone(&own);
+                std::thread::spawn(move || pass(stream, to, &cut));
+            }
+        });
+        Ok(Relay { addr, cut })
+    }
+
+    /// Cuts what it passes on, or ends that.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+}
+
+fn pass(from: TcpStream, to: SocketAddr, cut: &Arc<AtomicBool>) {
+    if cut.load(Ordering::Relaxed) {
+        return;
+    }
+    let Ok(onward) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else {
+        return;
+    };
+    let (Ok(back_from), Ok(back_to)) = (onward.try_clone(), from.try_clone()) else {
+        return;
+    };
+    let other = Arc::clone(cut);
+    std::thread::spawn(move || copy(back_from, back_to, &other));
+    copy(from, onward, cut);
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool) {
+    let mut chunk = [0; 4096];
+    let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
+    while !cut.load(Ordering::Relaxed) {
+        match from.read(&mut chunk) {
+            Ok(0) => break,
+            Ok(n) => {
+                if to.write_all(&chunk[..n]).is_err() {
+                    break;
+                }
+            }
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) => {}
+            Err(_) => break,
+        }
+    }
+    let _ = from.shutdown(std::net::Shutdown::Both);
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
--- a/crates/pulleywood-standins/src/worker.rs
+++ b/crates/pulleywood-standins/src/worker.rs
@@ -10,6 +10,7 @@
     Cause, Direct, Order, Redirect, Report, ReportAnswer, TaskReport, TaskState,
 };
 use pulleywood_wire::{Attempt, MachineId, MemberId, TaskId, Term};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -58,9 +59,14 @@
     world: Arc<World>,
     state: Mutex<State>,
     cut: AtomicBool,
+    deaf: AtomicBool,
     gone: AtomicBool,
+    sent: Mutex<VecDeque<Vec<u8>>>,
 }
 
+/// Reports remembered, to be sent again late.
+const KEPT: usize = 40;
+
 struct Direction {
     worker: Arc<Worker>,
     addr: Arc<Mutex<Option<SocketAddr>>>,
@@ -80,6 +86,8 @@
                 renewed: Instant::now(),
             }),
             cut: AtomicBool::new(false),
+            deaf: AtomicBool::new(false),
+            sent: Mutex::new(VecDeque::new()),
             gone: AtomicBool::new(false),
         });
         let known = Arc::new(Mutex::new(None));
@@ -99,6 +107,25 @@
         self.cut.store(cut, Ordering::Relaxed);
     }
 
+    /// Its reports go out, but no answer or command reaches it; or ends that.
+    pub fn set_deaf(&self, deaf: bool) {
+        self.deaf.store(deaf, Ordering::Relaxed);
+    }
+
+    /// The network brings all reports of some time once more to every
+    /// controller, oldest first. Nobody waits for the answers.
+    pub fn repeat_reports(&self) {
+        let reports: Vec<Vec<u8>> = self.sent.lock().iter().cloned().collect();
+        let controllers = self.place.controllers.lock().clone();
+        for body in &reports {
+            for (_, to) in &controllers {
+                let client = Client::new(*to, 0);
+                let time = Duration::from_secs(1);
+                let _ = client.call("POST", "/v1/report", Some(body), time);
+            }
+        }
+    }
+
     /// The cloud takes the machine: everything on it is gone.
     pub fn take(&self) {
         self.gone.store(true, Ordering::Relaxed);
@@ -129,7 +156,15 @@
             let session = report.session;
             let client = Client::new(*to, 0);
             let body = cbor::encode(&report);
+            {
+                let mut sent = self.sent.lock();
+                sent.push_back(body.clone());
+                if sent.len() > KEPT {
+                    sent.pop_front();
+                }
+            }
             match client.call("POST", "/v1/report", Some(&body), Duration::from_secs(4)) {
+                _ if self.deaf.load(Ordering::Relaxed) => at += 1,
                 Ok(a) if a.status == 200 => {
                     if let Ok(answer) = cbor::decode::<ReportAnswer>(&a.body) {
                         self.take_answer(&answer, session, sent);
@@ -259,7 +294,8 @@
         let worker = &self.worker;
         // A cut worker is silent; here it answers with what no caller takes.
         let addr = *self.addr.lock();
-        let (Some(addr), false) = (addr, worker.cut.load(Ordering::Relaxed)) else {
+        let away = worker.cut.load(Ordering::Relaxed) || worker.deaf.load(Ordering::Relaxed);
+        let (Some(addr), false) = (addr, away) else {
             return Response::status(503);
         };
         if worker.gone.load(Ordering::Relaxed) {
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -302,46 +302,108 @@
         log::debug!("{}", fleet::summary(&node.config, &seen));
         fleet::decide(&node.config, &mut office.memory, &seen)
     };
-    for action in actions {
+    // What the cloud does takes longest to show, so it is asked first.
+    let (cloud, errands): (Vec<Action>, Vec<Action>) = actions
+        .into_iter()
+        .partition(|a| matches!(a, Action::Hire(..) | Action::Release(..)));
+    for action in cloud {
         act(shared, office, action);
     }
+    for machine in run_errands(shared, errands, now + ROUND) {
+        office.memory.not_moved(&machine);
+    }
 }
 
+/// Most machines that one request rents.
+const MAX_HIRE: u32 = 50;
+
 fn act(shared: &Arc<Shared>, office: &mut Office, action: Action) {
     let now = shared.clock.now();
     match action {
+        Action::Release(machines, why) => {
+            for batch in machines.chunks(100) {
+                release(shared, office, batch, why);
+            }
+        }
+        Action::Hire(kind, count) => {
+            let mut left = count;
+            while left > 0 && office.memory.open(&kind, now) {
+                let how_many = left.min(MAX_HIRE);
+                left -= how_many;
+                office.hires += 1;
+                let hire = Hire {
+                    hire: format!("h-{}-{}", office.term, office.hires),
+                    rig: kind.flavor.clone(),
+                    yard: kind.zone.clone(),
+                    loaner: kind.spot,
+                    how_many,
+                };
+                if !hire_now(shared, office, hire, now) {
+                    return;
+                }
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Asks parts' owners, all at once and each in order, until the round is over:
+/// they wait for tokens, and the fleet must not wait for them. What is left is
+/// decided anew. Machines that were to be moved and were not are returned.
+fn run_errands(shared: &Arc<Shared>, errands: Vec<Action>, until: Moment) -> Vec<MachineId> {
+    let mut by_part: BTreeMap<PartId, Vec<Action>> = BTreeMap::new();
+    for errand in errands {
+        let part = match &errand {
+            Action::Move(_, from, _) | Action::Lend(from, ..) => *from,
+            Action::Drain(part, _) | Action::Retire(_, part) => *part,
+            Action::Hire(..) | Action::Release(..) => continue,
+        };
+        by_part.entry(part).or_default().push(errand);
+    }
+    let unmoved = parking_lot::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for (part, errands) in by_part {
+            let unmoved = &unmoved;
+            let run = move || {
+                for errand in errands {
+                    let late = shared.clock.now() >= until;
+                    if let Action::Move(machine, ..) = &errand
+                        && late
+                    {
+                        unmoved.lock().push(machine.clone());
+                    }
+                    if !late {
+                        run_errand(shared, part, errand);
+                    }
+                }
+            };
+            let thread = std::thread::Builder::new().stack_size(128 * 1024);
+            if let Err(e) = thread.spawn_scoped(scope, run) {
+                log::error!("cannot start a thread: {e}");
+            }
+        }
+    });
+    unmoved.into_inner()
+}
+
+fn run_errand(shared: &Arc<Shared>, part: PartId, errand: Action) {
+    let ask = match errand {
         Action::Move(machine, from, to) => {
             log::debug!("moving {machine} from part {from} to {to}");
-            ask_owner(shared, from, Ask::Move(machine, to));
+            Ask::Move(machine, to)
         }
         Action::Lend(from, to, like) => {
             log::debug!("part {from} lends {} tasks to {to}", like.count);
-            ask_owner(shared, from, Ask::Lend(from, to, like));
-        }
-        Action::Drain(part, machines) => {
-            ask_owner(shared, part, Ask::Drain(machines));
+            Ask::Lend(from, to, like)
         }
+        Action::Drain(_, machines) => Ask::Drain(machines),
         Action::Retire(machine, part) => {
             log::debug!("retiring {machine} of part {part}");
-            ask_owner(shared, part, Ask::Retire(machine));
-        }
-        Action::Release(machines, why) => {
-            for batch in machines.chunks(100) {
-                release(shared, office, batch, why);
-            }
+            Ask::Retire(machine)
         }
-        Action::Hire(kind, count) => {
-            office.hires += 1;
-            let hire = Hire {
-                hire: format!("h-{}-{}", office.term, office.hires),
-                rig: kind.flavor,
-                yard: kind.zone,
-                loaner: kind.spot,
-                how_many: count,
-            };
-            hire_now(shared, office, hire, now);
-        }
-    }
+        Action::Hire(..) | Action::Release(..) => return,
+    };
+    ask_owner(shared, part, ask);
 }
 
 /// Requests whose outcome is unknown are repeated under the same name.
@@ -352,7 +414,8 @@
     }
 }
 
-fn hire_now(shared: &Arc<Shared>, office: &mut Office, hire: Hire, now: Moment) {
+/// Whether more may be rented now.
+fn hire_now(shared: &Arc<Shared>, office: &mut Office, hire: Hire, now: Moment) -> bool {
     let kind = Kind {
         flavor: hire.rig.clone(),
         zone: hire.yard.clone(),
@@ -374,6 +437,7 @@
                 office.memory.filled(&kind);
             }
             office.memory.hired(&machines, &kind, now);
+            return true;
         }
         Err(CloudError::NoCapacity) => {
             log::info!("no capacity for {kind:?}");
@@ -385,6 +449,7 @@
         }
         Err(e) => log::debug!("rental {}: {e}", hire.hire),
     }
+    false
 }
 
 /// Releases machines; only the cloud's answer proves them gone, and only then
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -4,10 +4,10 @@
 use crate::node::{Shared, read};
 use parking_lot::{Condvar, Mutex};
 use pulleywood_net::{Class, StateError};
-use pulleywood_wire::{JobId, PartId};
 use pulleywood_wire::pack::PackRecord;
 use pulleywood_wire::record::{LIVE, PACKS, job_key, machine_key};
 use pulleywood_wire::state::{Event, Item};
+use pulleywood_wire::{JobId, PartId};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -4,7 +4,7 @@
 use crate::follow::Reads;
 use crate::intake::Intake;
 use parking_lot::{Condvar, Mutex};
-use pulleywood_core::{Config, PartLedger};
+use pulleywood_core::{Config, PartLedger, Room};
 use pulleywood_net::peer::PeerClient;
 use pulleywood_net::{CloudClient, StateClient};
 use pulleywood_wire::pack::{PackHead, PackRecord, Packs};
@@ -456,7 +456,9 @@
             self.view.jobs.entry(id.clone()).or_insert(0);
             self.tell_parts(&id, &JobEntry::Packed(Box::new(record)), stamp, now);
         }
-        self.view.left.extend(left.into_iter().map(|id| (id, stamp)));
+        self.view
+            .left
+            .extend(left.into_iter().map(|id| (id, stamp)));
     }
 
     /// All changes of some revisions have been taken: a job that left its pack
@@ -561,24 +563,25 @@
         }
     }
 
-    /// The part with the most room for a new job: what is free there, less
-    /// what waits there, less what this controller sent there since.
+    /// The part where a new job can start soonest: where most of it finds its
+    /// image on machines with room, counting what lower ranks would yield, and
+    /// then by free room, less what waits there and what this controller sent
+    /// there since.
     pub fn choose_part(&mut self, spec: &JobSpec, now: Moment) -> PartId {
         let config = Arc::clone(&self.config);
         let home = spec.id.part(config.parts);
         let share = |cpus: f64, gpus: f64, memory_gb: f64| {
-            let room = pulleywood_core::Room {
+            let room = Room {
                 cpus,
                 gpus,
                 memory_gb,
             };
-            config
-                .flavors
-                .values()
-                .map(|f| room.share_of(&pulleywood_core::Room::of_flavor(f)))
-                .fold(f64::INFINITY, f64::min)
+            let flavors = config.flavors.values();
+            let shares = flavors.map(|f| room.share_of(&Room::of_flavor(f)));
+            shares.fold(f64::INFINITY, f64::min)
         };
-        let size = f64::from(spec.tasks) * share(spec.cpus.0, spec.gpus.0, spec.memory_gb.0);
+        let need = Room::of_task(spec);
+        let size = f64::from(spec.tasks) * share(need.cpus, need.gpus, need.memory_gb);
         self.sent
             .retain(|(at, ..)| now.since(*at) < Duration::from_millis(1500));
         let parts = self.all_parts(now);
@@ -586,34 +589,45 @@
             .values()
             .filter(|p| !p.rebuilding && self.view.parts.contains_key(&p.part))
             .map(|p| {
-                let free: f64 = p
-                    .machines
-                    .iter()
-                    .filter(|m| {
-                        let spot = self
-                            .view
-                            .machines
-                            .get(&m.machine)
-                            .is_some_and(|(r, _)| r.spot);
-                        spec.spot || !spot
-                    })
-                    .map(|m| share(m.cpus, m.gpus, m.memory_gb))
-                    .sum();
-                let waiting: f64 = p
-                    .demand
-                    .iter()
-                    .filter(|d| d.rank >= spec.rank)
+                let mut free = 0.0;
+                let mut warm = 0;
+                for m in &p.machines {
+                    let Some((record, _)) = self.view.machines.get(&m.machine) else {
+                        continue;
+                    };
+                    if record.spot && !spec.spot {
+                        continue;
+                    }
+                    free += share(m.cpus, m.gpus, m.memory_gb);
+                    if warm >= spec.tasks || !record.images.iter().any(|(n, _)| *n == spec.image) {
+                        continue;
+                    }
+                    let mut room = Room {
+                        cpus: m.cpus,
+                        gpus: m.gpus,
+                        memory_gb: m.memory_gb,
+                    };
+                    for &(_, cpus, gpus, memory_gb) in
+                        m.held.iter().filter(|(rank, ..)| *rank < spec.rank)
+                    {
+                        room += Room {
+                            cpus,
+                            gpus,
+                            memory_gb,
+                        };
+                    }
+                    warm += room.times(&need);
+                }
+                let demand = p.demand.iter().filter(|d| d.rank >= spec.rank);
+                let waiting: f64 = demand
                     .map(|d| f64::from(d.count) * share(d.cpus, d.gpus, d.memory_gb))
                     .sum();
-                let sent: f64 = self
-                    .sent
-                    .iter()
-                    .filter(|(_, part, _)| *part == p.part)
-                    .map(|(.., size)| size)
-                    .sum();
-                (free - waiting - sent, p.part == home, p.part)
+                let sent = self.sent.iter().filter(|(_, part, _)| *part == p.part);
+                let sent: f64 = sent.map(|(.., size)| size).sum();
+                let warm = if sent > 0.0 { 0 } else { warm.min(spec.tasks) };
+                (warm, free - waiting - sent, p.part == home, p.part)
             })
-            .max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            .max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         let part = best.map_or(home, |(.., part)| part);
         self.sent.push((now, part, size));
         part
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -10,8 +10,8 @@
 use pulleywood_wire::pack::PackRecord;
 use pulleywood_wire::peer::Demand;
 use pulleywood_wire::record::{
-    Holder, JOBS, Key, LAYOUT, LastHolder, Layout, PACKS, TERM, TermRecord, grant_key, job_key, last_key,
-    machine_key, part_key,
+    Holder, JOBS, Key, LAYOUT, LastHolder, Layout, PACKS, TERM, TermRecord, grant_key, job_key,
+    last_key, machine_key, part_key,
 };
 use pulleywood_wire::state::{Commit, Item};
 use pulleywood_wire::worker::Direct;
@@ -127,7 +127,10 @@
         let result = match step {
             Step::Nothing => Ok(()),
             Step::Init => init(shared),
-            Step::Take(part, permit) => take(shared, part, permit),
+            Step::Take(part, permit) => {
+                stagger(shared);
+                take(shared, part, permit)
+            }
             Step::HandBack(part) => hand_back(shared, part),
             Step::Disown(part, stamp) => disown(shared, part, stamp),
             Step::Settle(part) => settle(shared, part),
@@ -142,6 +145,16 @@
     }
 }
 
+/// At the first start all controllers take their parts at once, each with the
+/// next term, and all but one lose their tokens with it. They go one by one.
+fn stagger(shared: &Shared) {
+    const TURN: Duration = Duration::from_millis(40);
+    if shared.node.lock().view.parts.is_empty() {
+        let before = shared.peers.keys().filter(|p| **p < shared.me).count();
+        std::thread::sleep(TURN * before as u32);
+    }
+}
+
 enum Step {
     Nothing,
     Init,
@@ -821,6 +834,9 @@
     Ok(())
 }
 
+/// Lending goes on for this long at a time.
+const LEND_TIME: Duration = Duration::from_millis(1000);
+
 /// Lends waiting tasks of a part held here to another part. The shrunken
 /// share is committed before the other part can see its larger one.
 pub fn lend(shared: &Arc<Shared>, from: PartId, to: PartId, like: &Demand) -> bool {
@@ -863,8 +879,13 @@
         commits
     };
     let mut lent = false;
+    let end = now + LEND_TIME;
     for (id, record, commit, packs) in prepared {
-        let outcome = shared.state.commit(Class::Owner, &commit);
+        let outcome = match shared.clock.now() < end {
+            true => shared.state.commit(Class::House, &commit),
+            // Whoever asked has stopped waiting.
+            false => Err(StateError::Budget(Duration::ZERO)),
+        };
         let now = shared.clock.now();
         let mut node = shared.node.lock();
         match outcome {
@@ -936,7 +957,7 @@
         None => next.retiring = true,
     }
     commit = commit.write(machine_key(id), &next);
-    let outcome = shared.state.commit(Class::Owner, &commit);
+    let outcome = shared.state.commit(Class::House, &commit);
     let now = shared.clock.now();
     match outcome {
         Ok(Outcome::Applied(stamp)) => {
--- a/crates/pulleywood/src/policy.rs
+++ b/crates/pulleywood/src/policy.rs
@@ -42,6 +42,7 @@
     ("overflow", |p| &mut p.overflow, 0.0, 100.0),
     ("idle_s", |p| &mut p.idle_s, 0.0, 86_400.0),
     ("spot_bias_s", |p| &mut p.spot_bias_s, 0.0, 3600.0),
+    ("patience_s", |p| &mut p.patience_s, 1.0, 180.0),
 ];
 
 /// Runs policy text over the defaults.
