--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use pulleywood_wire::settings::Objective;
 use pulleywood_wire::worker::{Cause, Order, TaskState};
 use pulleywood_wire::{JobSpec, Rank, Shape};
 
@@ -234,3 +235,69 @@
     assert!(again.iter().all(|(_, a)| *a == again[0].1));
     assert_ne!(again[0].1, all[0].1);
 }
+
+#[test]
+fn no_job_waits_for_ever_to_begin() {
+    // Smaller jobs keep more promises for their work, and so come first; one
+    // large job stayed without its first task while they kept coming.
+    for (s, begun) in [(30.0, false), (61.0, true)] {
+        let mut b = Bench::new(&["a"]);
+        b.ledger.day_offset_ms = at(0.0).0 as i64;
+        b.config.objectives.push(Objective {
+            kind: "finished".into(),
+            class: Some("c".into()),
+            within_s: 400.0,
+            share: 0.9,
+        });
+        let mut large = spec(1, 100);
+        large.estimate_s.0 = 500.0;
+        b.submit(large, false);
+        for n in 2..=6 {
+            b.submit(spec(n, 1), false);
+        }
+        let report = b.report(0, 1, vec![]);
+        let launched = launches(&b.turn(&report, s));
+        assert_eq!(launched.len(), 4);
+        let first = launched.iter().any(|(t, _)| t.job == task(1, 0).job);
+        assert_eq!(first, begun, "{s}");
+    }
+}
+
+#[test]
+fn the_widest_task_gets_a_machine_in_the_end() {
+    // A task that takes a whole machine, while smaller ones take each piece
+    // that comes free: after its patience one machine is kept for it.
+    let mut b = Bench::new(&["a", "a"]);
+    b.ledger.day_offset_ms = at(0.0).0 as i64;
+    let mut wide = spec(1, 1);
+    (wide.cpus.0, wide.gpus.0) = (16.0, 4.0);
+    wide.rank = Rank::Standard;
+    b.submit(spec(2, 400), false);
+    let mut on: Vec<Vec<(pulleywood_wire::TaskId, pulleywood_wire::Attempt)>> = vec![vec![]; 2];
+    let mut seq = 0;
+    let mut begun = None;
+    for step in 0..120 {
+        let s = f64::from(step);
+        if step == 1 {
+            b.submit(wide.clone(), false);
+        }
+        seq += 1;
+        for m in 0..2 {
+            // One task of four ends on each machine in turn.
+            let ends = (step + m as i32) % 3 == 0 && !on[m].is_empty();
+            let done = ends.then(|| on[m].remove(0));
+            let mut tasks: Vec<_> = on[m]
+                .iter()
+                .map(|(t, a)| state(t, *a, TaskState::Running))
+                .collect();
+            tasks.extend(done.iter().map(|(t, a)| exited(t, *a, Cause::Done)));
+            let report = b.report(m, seq, tasks);
+            on[m].extend(launches(&b.turn(&report, s)));
+            if on[m].iter().any(|(t, _)| t.job == task(1, 0).job) {
+                begun.get_or_insert(step);
+            }
+        }
+    }
+    let begun = begun.expect("the wide task never began");
+    assert!((60..100).contains(&begun), "{begun}");
+}
--- a/crates/pulleywood-wire/tests/records.rs
+++ b/crates/pulleywood-wire/tests/records.rs
@@ -1,8 +1,10 @@
 //! Ids, done sets and loans, and the size of what is stored.
 
 use pulleywood_wire::cbor::{self, Amount};
+use pulleywood_wire::pack::{PackRecord, Packs};
 use pulleywood_wire::record::{ChunkRecord, JobRecord, Key, TaskSet, chunk_tasks};
-use pulleywood_wire::{Attempt, JobId, JobSpec, PartId, Rank, Shape, TaskId, Term};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::{Attempt, JobId, JobSpec, PartId, Rank, Shape, Stamp, TaskId, Term};
 
 fn spec(tasks: u32) -> JobSpec {
     JobSpec {
@@ -190,3 +192,48 @@
         assert_eq!(cbor::decode::<Amount>(bytes).unwrap(), Amount(value));
     }
 }
+
+#[test]
+fn a_job_is_in_one_pack_until_it_leaves_it() {
+    let record = |n: u64| {
+        let mut spec = spec(2);
+        spec.id = JobId::parse(&format!("j-{n}")).unwrap();
+        JobRecord {
+            spec,
+            at_ms: 0,
+            part: PartId(0),
+            lent: vec![],
+            done: String::new(),
+        }
+    };
+    let id = |n: u64| JobId::parse(&format!("j-{n}")).unwrap();
+    let mut packs = Packs::default();
+    let pack = PackRecord {
+        jobs: vec![record(1), record(2), record(3)],
+    };
+    let (new, left) = packs.put(7, Some(pack.clone()), Stamp(10));
+    assert_eq!((new.len(), left.len()), (3, 0));
+    // The same change again, as a watch brings what was put here before.
+    let (new, left) = packs.put(7, Some(pack.clone()), Stamp(10));
+    assert_eq!((new.len(), left.len()), (0, 0));
+    assert_eq!(packs.find(&id(2)), Some(7));
+    let out = std::collections::BTreeSet::from([id(1), id(3), id(9)]);
+    let (commit, after) = packs.take_out(Commit::default(), &out);
+    assert!(commit.is_compare_and_set());
+    assert_eq!(commit.changes.len(), 1, "one write for all that leave");
+    let (n, rest) = after.into_iter().next().unwrap();
+    let (_, left) = packs.put(n, rest, Stamp(20));
+    assert_eq!(left, [id(1), id(3)]);
+    // An older change that comes late brings nothing back.
+    let (new, _) = packs.put(7, Some(pack.clone()), Stamp(10));
+    assert!(new.is_empty());
+    let (commit, after) = packs.take_out(Commit::default(), &[id(2)].into());
+    assert_eq!(commit.changes.len(), 1);
+    let (n, rest) = after.into_iter().next().unwrap();
+    assert!(rest.is_none(), "the last one to leave ends the pack");
+    packs.put(n, rest, Stamp(30));
+    let (new, _) = packs.put(7, Some(pack), Stamp(20));
+    assert!(new.is_empty());
+    packs.forget(30);
+    assert_eq!(packs.find(&id(2)), None);
+}
--- a/crates/pulleywood/tests/failures.rs
+++ b/crates/pulleywood/tests/failures.rs
@@ -5,7 +5,7 @@
 
 use pulleywood_net::Client;
 use pulleywood_standins::cloud::Controllers;
-use pulleywood_standins::{Cloud, Fault, Front, StateService, World};
+use pulleywood_standins::{Cloud, Fault, Front, Relay, StateService, World};
 use pulleywood_wire::cbor::{self, Amount};
 use pulleywood_wire::cloud::Flavor;
 use pulleywood_wire::job::{JobAnswer, JobStatus};
@@ -49,6 +49,8 @@
     state: StateService,
     cloud: Cloud,
     fronts: Vec<Front>,
+    /// From the first controller to the second.
+    relays: Vec<(usize, usize, Relay)>,
     serve_on: Vec<SocketAddr>,
     files: Vec<std::path::PathBuf>,
     running: Vec<Option<Child>>,
@@ -69,6 +71,11 @@
     /// Three controllers, a team limited to `limit` GPUs (0: none), and room
     /// for four machines of two GPUs each.
     fn new(limit: f64) -> Stage {
+        Stage::with(limit, 200.0)
+    }
+
+    /// The same with `write_rps` writes a second to the state service.
+    fn with(limit: f64, write_rps: f64) -> Stage {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let world = Arc::new(World::default());
         if limit > 0.0 {
@@ -104,23 +111,33 @@
             state,
             cloud,
             fronts: Vec::new(),
+            relays: Vec::new(),
             serve_on,
             files: Vec::new(),
             running: Vec::new(),
         };
         for n in 0..CONTROLLERS {
             let front = stage.state.front().unwrap();
+            let others: Vec<usize> = (0..CONTROLLERS).filter(|m| *m != n).collect();
+            for &m in &others {
+                let relay = Relay::start(peers[m]).unwrap();
+                stage.relays.push((n, m, relay));
+            }
+            let relay = |m: usize| {
+                let way = stage.relays.iter().find(|(a, b, _)| (*a, *b) == (n, m));
+                way.unwrap().2.addr
+            };
             let settings = Settings {
                 member: name(n),
                 domain: "a".into(),
                 serve_on: stage.serve_on[n].to_string(),
                 cluster_listen: peers[n].to_string(),
-                seeds: (0..CONTROLLERS)
-                    .filter(|m| *m != n)
-                    .map(|m| Seed {
+                seeds: others
+                    .iter()
+                    .map(|&m| Seed {
                         member: name(m),
                         domain: "a".into(),
-                        endpoint: peers[m].to_string(),
+                        endpoint: relay(m).to_string(),
                     })
                     .collect(),
                 services: Services {
@@ -145,7 +162,7 @@
                     },
                     state: StateLimits {
                         rps: 600.0,
-                        write_rps: 200.0,
+                        write_rps,
                         value_kb: 8.0,
                         txn_ops: 16,
                     },
@@ -198,6 +215,17 @@
         }
     }
 
+    /// Cuts a controller off from the state service and its peers, not from
+    /// workers and users; or ends that.
+    fn isolate(&self, n: usize, cut: bool) {
+        self.fronts[n].set(if cut { Fault::Cut } else { Fault::None });
+        for (a, b, relay) in &self.relays {
+            if *a == n || *b == n {
+                relay.set_cut(cut);
+            }
+        }
+    }
+
     fn set_all(&self, fault: Fault) {
         for front in &self.fronts {
             front.set(fault);
@@ -492,3 +520,183 @@
     assert!(!stage.state.keys("c/grant/").is_empty());
     stage.finish();
 }
+
+#[test]
+fn a_burst_is_accepted_in_packs_and_nothing_of_it_is_lost() {
+    let mut stage = Stage::with(0.0, 12.0);
+    let jobs: Vec<JobSpec> = (1..=24).map(|n| job(n, 1)).collect();
+    let mut services: Vec<JobSpec> = (101..=106).map(|n| job(n, 1)).collect();
+    for spec in &mut services {
+        spec.shape = Shape::Service;
+    }
+    // Each user submits by itself, to one controller after the other.
+    std::thread::scope(|scope| {
+        for spec in jobs.iter().chain(&services) {
+            let stage = &stage;
+            scope.spawn(move || stage.submit(spec, SHORT));
+        }
+    });
+    assert!(
+        !stage.state.keys("c/pack/").is_empty(),
+        "no pack was written"
+    );
+    // A retry finds a job wherever it is, and makes no second one of it.
+    for spec in jobs.iter().chain(&services) {
+        let body = cbor::encode(spec);
+        wait("known", || {
+            let (status, _) = stage.call(1, "POST", "/v2/runs", Some(&body));
+            assert!(status == 200 || status == 429 || status == 503, "{status}");
+            status == 200
+        });
+    }
+    for n in 0..CONTROLLERS {
+        stage.kill(n);
+    }
+    for n in 0..CONTROLLERS {
+        stage.start(n);
+    }
+    for spec in &services {
+        let path = format!("/v2/runs/{}/cancel", spec.id);
+        wait("cancelled", || stage.call(2, "POST", &path, None).0 == 200);
+    }
+    for spec in &jobs {
+        stage.wait_done(&spec.id);
+    }
+    for spec in &services {
+        wait("gone", || stage.world.running(&spec.id) == 0);
+        for n in 0..CONTROLLERS {
+            wait("told", || {
+                stage.status(n, &spec.id) == Some(JobStatus::Cancelled)
+            });
+        }
+    }
+    wait("no job is left in a pack", || {
+        stage.state.keys("c/pack/").is_empty()
+    });
+    stage.finish();
+}
+
+#[test]
+fn a_deaf_machines_tasks_start_elsewhere_once_and_it_is_used_again() {
+    let stage = Stage::new(0.0);
+    let mut spec = job(1, 4);
+    spec.shape = Shape::Service;
+    stage.submit(&spec, LONG);
+    wait("all run", || stage.world.running(&spec.id) == 4);
+    let on = stage.world.machines_of(&spec.id);
+    let deaf = on.into_iter().next().unwrap();
+    let worker = stage.cloud.worker(&deaf).unwrap();
+    worker.set_deaf(true);
+    wait("they run elsewhere", || {
+        stage.world.running(&spec.id) == 4 && !stage.world.machines_of(&spec.id).contains(&deaf)
+    });
+    // It takes nothing while it is deaf, and work again when it hears.
+    let more = job(2, 6);
+    stage.submit(&more, SHORT);
+    worker.set_deaf(false);
+    stage.wait_done(&more.id);
+    stage.finish();
+}
+
+#[test]
+fn late_copies_of_reports_start_nothing_twice() {
+    let mut stage = Stage::new(0.0);
+    let spec = job(1, 6);
+    stage.submit(&spec, LONG);
+    wait("all run", || stage.world.running(&spec.id) == 6);
+    let machines = stage.world.machines_of(&spec.id);
+    let workers: Vec<_> = machines
+        .iter()
+        .map(|m| stage.cloud.worker(m).unwrap())
+        .collect();
+    // At the owners, at others, and at owners that know no numbers yet.
+    for round in 0..3 {
+        for worker in &workers {
+            worker.repeat_reports();
+        }
+        if round == 1 {
+            for n in 0..CONTROLLERS {
+                stage.kill(n);
+                stage.start(n);
+            }
+        }
+    }
+    stage.wait_done(&spec.id);
+    for worker in &workers {
+        worker.repeat_reports();
+    }
+    let next = job(2, 4);
+    stage.submit(&next, SHORT);
+    stage.wait_done(&next.id);
+    for n in 0..CONTROLLERS {
+        wait("still done", || {
+            stage.status(n, &spec.id) == Some(JobStatus::Done)
+        });
+    }
+    stage.finish();
+}
+
+#[test]
+fn an_owner_with_nothing_but_its_workers_starts_nothing_and_obeys_cancellations() {
+    for owner in 0..CONTROLLERS {
+        let stage = Stage::new(0.0);
+        let mut service = job(1, 6);
+        service.shape = Shape::Service;
+        stage.submit(&service, LONG);
+        wait("all run", || stage.world.running(&service.id) == 6);
+        stage.isolate(owner, true);
+        let other = (owner + 1) % CONTROLLERS;
+        let path = format!("/v2/runs/{}/cancel", service.id);
+        wait("cancelled", || {
+            stage.call(other, "POST", &path, None).0 == 200
+        });
+        wait("gone", || stage.world.running(&service.id) == 0);
+        stage.world.gone_for_good(&service.id);
+        // Its users are told to come back, at once.
+        let body = cbor::encode(&job(9, 1));
+        wait("refused", || {
+            let (status, _) = stage.call(owner, "POST", "/v2/runs", Some(&body));
+            status == 503 || status == 429
+        });
+        let next = job(2, 4);
+        stage.world.add_job(next.clone(), SHORT);
+        let body = cbor::encode(&next);
+        wait("accepted elsewhere", || {
+            let (status, _) = stage.call(other, "POST", "/v2/runs", Some(&body));
+            status == 200 || status == 201
+        });
+        stage.wait_done(&next.id);
+        stage.isolate(owner, false);
+        stage.wait_ready(owner);
+        wait("told", || {
+            stage.status(owner, &service.id) == Some(JobStatus::Cancelled)
+        });
+        stage.finish();
+    }
+}
+
+#[test]
+fn controllers_back_at_once_own_nothing_twice() {
+    // Also while transactions of their former processes are under way.
+    let mut stage = Stage::new(4.0);
+    let specs: Vec<JobSpec> = (1..=4).map(|n| job(n, 3)).collect();
+    for spec in &specs {
+        stage.submit(spec, Duration::from_secs(1));
+    }
+    for round in 0..6 {
+        let n = round % CONTROLLERS;
+        stage.fronts[n].set(Fault::Late(700));
+        stage.kill(n);
+        stage.start(n);
+        stage.kill(n);
+        stage.start(n);
+        stage.fronts[n].set(Fault::None);
+    }
+    for spec in &specs {
+        stage.wait_done(&spec.id);
+    }
+    for n in 0..CONTROLLERS {
+        stage.wait_ready(n);
+    }
+    stage.finish();
+}
