--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -282,18 +282,18 @@
             b.submit(wide.clone(), false);
         }
         seq += 1;
-        for m in 0..2 {
-            // One task of four ends on each machine in turn.
-            let ends = (step + m as i32) % 3 == 0 && !on[m].is_empty();
-            let done = ends.then(|| on[m].remove(0));
-            let mut tasks: Vec<_> = on[m]
-                .iter()
+        for (m, on) in on.iter_mut().enumerate() {
+            // A task ends on each machine in turn.
+            let ends = (step + m as i32) % 3 == 0 && !on.is_empty();
+            let done = ends.then(|| on.remove(0));
+            let running = on.iter();
+            let mut tasks: Vec<_> = running
                 .map(|(t, a)| state(t, *a, TaskState::Running))
                 .collect();
             tasks.extend(done.iter().map(|(t, a)| exited(t, *a, Cause::Done)));
             let report = b.report(m, seq, tasks);
-            on[m].extend(launches(&b.turn(&report, s)));
-            if on[m].iter().any(|(t, _)| t.job == task(1, 0).job) {
+            on.extend(launches(&b.turn(&report, s)));
+            if on.iter().any(|(t, _)| t.job == task(1, 0).job) {
                 begun.get_or_insert(step);
             }
         }
