Choose a job's part in core, in a table; two tries for replicas' images reverted

Tried: (1) lending a service job's tasks from its acceptance to parts that have its image on machines whose room lower ranks yield; (2) telling each machine's images in digests, since the records lag.

Excluded: launches (0.1 to 2.5 s after acceptance). What remains is the fetch: 14 s for the median image at 0.5 GB/s, on machines that never had it. Both reverted; the choice of a part itself has moved to core.

--- /dev/null
+++ b/crates/pulleywood-core/src/home.rs
@@ -0,0 +1,121 @@
+//! Which part runs a new job.
+
+use crate::config::Config;
+use crate::room::Room;
+use pulleywood_wire::job::JobSpec;
+use pulleywood_wire::peer::{MachineDigest, PartDigest};
+use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::{MachineId, PartId, Stamp};
+use std::collections::BTreeMap;
+
+/// What one part offers a job.
+struct Offer {
+    part: PartId,
+    /// Tasks that find their image on a machine with room, counting what lower
+    /// ranks would yield.
+    warm: u32,
+    /// Room left by what runs and waits there, in machines.
+    room: f64,
+}
+
+/// The share of a machine that a shape takes, on the type where it takes least.
+fn share(config: &Config, cpus: f64, gpus: f64, memory_gb: f64) -> f64 {
+    let room = Room {
+        cpus,
+        gpus,
+        memory_gb,
+    };
+    let flavors = config.flavors.values();
+    let shares = flavors.map(|f| room.share_of(&Room::of_flavor(f)));
+    shares.fold(f64::INFINITY, f64::min)
+}
+
+/// Machines that all tasks of a job would fill.
+pub fn size(config: &Config, spec: &JobSpec) -> f64 {
+    f64::from(spec.tasks) * share(config, spec.cpus.0, spec.gpus.0, spec.memory_gb.0)
+}
+
+/// Room for a job's tasks on one machine, counting what lower ranks hold.
+fn yields(machine: &MachineDigest, spec: &JobSpec) -> u32 {
+    let mut room = Room {
+        cpus: machine.cpus,
+        gpus: machine.gpus,
+        memory_gb: machine.memory_gb,
+    };
+    for &(rank, cpus, gpus, memory_gb) in &machine.held {
+        if rank < spec.rank {
+            room += Room {
+                cpus,
+                gpus,
+                memory_gb,
+            };
+        }
+    }
+    room.times(&Room::of_task(spec))
+}
+
+/// Chooses among the parts that have an owner: where most of the job finds its
+/// image, and then where there is most room. `sent`: machines' worth of work
+/// that was sent to a part since its digest.
+pub fn choose(
+    config: &Config,
+    spec: &JobSpec,
+    parts: &BTreeMap<PartId, PartDigest>,
+    machines: &BTreeMap<MachineId, (MachineRecord, Stamp)>,
+    sent: &BTreeMap<PartId, f64>,
+) -> PartId {
+    let by_hash = spec.id.part(config.parts);
+    let offers: Vec<Offer> = parts
+        .values()
+        .filter(|p| !p.rebuilding)
+        .map(|p| offer(config, spec, p, machines, sent))
+        .collect();
+    let best = offers.iter().max_by(|a, b| {
+        let key = |o: &Offer| (o.warm, o.room, o.part == by_hash);
+        let (a, b) = (key(a), key(b));
+        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2))
+    });
+    best.map_or(by_hash, |o| o.part)
+}
+
+fn offer(
+    config: &Config,
+    spec: &JobSpec,
+    part: &PartDigest,
+    machines: &BTreeMap<MachineId, (MachineRecord, Stamp)>,
+    sent: &BTreeMap<PartId, f64>,
+) -> Offer {
+    let sent = sent.get(&part.part).copied().unwrap_or(0.0);
+    let mut free = 0.0;
+    let mut warm = 0;
+    for m in &part.machines {
+        let Some((record, _)) = machines.get(&m.machine) else {
+            continue;
+        };
+        if record.spot && !spec.spot {
+            continue;
+        }
+        free += share(config, m.cpus, m.gpus, m.memory_gb);
+        let fits = spec.zone.as_ref().is_none_or(|z| *z == record.zone)
+            && spec
+                .types
+                .as_ref()
+                .is_none_or(|t| t.contains(&record.flavor));
+        // Work sent there since takes the room that the digest shows.
+        if !fits || m.unfit || sent > 0.0 || spec.image_gb.0 <= 0.0 {
+            continue;
+        }
+        if record.images.iter().any(|(n, _)| *n == spec.image) {
+            warm = (warm + yields(m, spec)).min(spec.tasks);
+        }
+    }
+    let demand = part.demand.iter().filter(|d| d.rank >= spec.rank);
+    let waiting: f64 = demand
+        .map(|d| f64::from(d.count) * share(config, d.cpus, d.gpus, d.memory_gb))
+        .sum();
+    Offer {
+        part: part.part,
+        warm,
+        room: free - waiting - sent,
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-core/tests/home.rs
@@ -0,0 +1,114 @@
+//! Which part runs a new job.
+
+mod common;
+
+use common::*;
+use pulleywood_core::home;
+use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
+use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::{MachineId, PartId, Rank, Stamp, Term};
+use std::collections::BTreeMap;
+
+/// A part with one machine: GPUs free, GPUs that idle work holds, an image.
+fn part(n: u32, free: f64, idle: f64, image: &str) -> (PartDigest, MachineId, MachineRecord) {
+    let machine = MachineId::from(format!("m{n}").as_str());
+    let digest = MachineDigest {
+        machine: machine.clone(),
+        cpus: free * 4.0,
+        gpus: free,
+        memory_gb: free * 8.0,
+        idle_s: -1.0,
+        silent_s: 0.5,
+        lost_s: 0.5,
+        unfit: false,
+        pinned: 0.0,
+        held: vec![(Rank::Idle, idle * 4.0, idle, idle * 8.0)],
+    };
+    let record = MachineRecord {
+        part: PartId(n),
+        term: Term(1),
+        flavor: "g4".into(),
+        zone: "a".into(),
+        spot: false,
+        endpoint: "10.0.0.1:1".into(),
+        retiring: false,
+        images: vec![(image.into(), pulleywood_wire::cbor::Amount(5.0))],
+    };
+    let part = PartDigest {
+        part: PartId(n),
+        machines: vec![digest],
+        ..PartDigest::default()
+    };
+    (part, machine, record)
+}
+
+#[test]
+fn a_job_goes_where_it_can_start_soonest() {
+    // (part 0 and part 1 as free GPUs, GPUs held by idle work, image; machines'
+    // worth sent to part 1 just now, waiting in part 1; chosen)
+    type Offer = (f64, f64, &'static str);
+    let cases: [(&str, Offer, Offer, f64, u32, u32); 6] = [
+        ("more room", (1.0, 0.0, "x"), (3.0, 0.0, "x"), 0.0, 0, 1),
+        ("its image", (3.0, 0.0, "x"), (2.0, 0.0, "img"), 0.0, 0, 1),
+        (
+            "its image where idle work yields",
+            (3.0, 0.0, "x"),
+            (0.0, 2.0, "img"),
+            0.0,
+            0,
+            1,
+        ),
+        (
+            "its image, but no room",
+            (3.0, 0.0, "x"),
+            (0.0, 0.0, "img"),
+            0.0,
+            0,
+            0,
+        ),
+        (
+            "its image, but others were sent there",
+            (3.0, 0.0, "x"),
+            (2.0, 0.0, "img"),
+            1.0,
+            0,
+            0,
+        ),
+        (
+            "more room, but more waits",
+            (1.0, 0.0, "x"),
+            (3.0, 0.0, "x"),
+            0.0,
+            12,
+            0,
+        ),
+    ];
+    for (name, zero, one, sent, waiting, expected) in cases {
+        let mut parts = BTreeMap::new();
+        let mut machines = BTreeMap::new();
+        for (n, (free, idle, image)) in [zero, one].into_iter().enumerate() {
+            let (mut digest, id, record) = part(n as u32, free, idle, image);
+            if n == 1 && waiting > 0 {
+                digest.demand.push(Demand {
+                    cpus: 4.0,
+                    gpus: 1.0,
+                    memory_gb: 8.0,
+                    types: None,
+                    zones: vec![],
+                    spot: true,
+                    rank: Rank::Standard,
+                    work_s: 60.0,
+                    count: waiting,
+                    free: true,
+                });
+            }
+            machines.insert(id, (record, Stamp(1)));
+            parts.insert(PartId(n as u32), digest);
+        }
+        let sent = BTreeMap::from([(PartId(1), sent)]);
+        let mut config = config();
+        config.parts = 2;
+        let chosen = home::choose(&config, &spec(1, 2), &parts, &machines, &sent);
+        assert_eq!(chosen, PartId(expected), "{name}");
+    }
+}
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -4,7 +4,7 @@
 use crate::follow::Reads;
 use crate::intake::Intake;
 use parking_lot::{Condvar, Mutex};
-use pulleywood_core::{Config, PartLedger, Room};
+use pulleywood_core::{Config, PartLedger, home};
 use pulleywood_net::peer::PeerClient;
 use pulleywood_net::{CloudClient, StateClient};
 use pulleywood_wire::pack::{PackHead, PackRecord, Packs};
@@ -420,6 +420,8 @@
                 }
                 self.tell_parts(&id, &entry, stamp, now);
             }
+            // This controller may know of a newer one, by its own pack.
+            Key::Head if stamp <= self.view.head.1 => {}
             Key::Head => self.view.head = (read(value, &path).unwrap_or_default(), stamp),
             Key::Pack(n) => {
                 let record: Option<PackRecord> = match value {
@@ -558,79 +560,31 @@
         let config = Arc::clone(&self.config);
         self.view.jobs.entry(record.spec.id.clone()).or_insert(0);
         self.view.own.insert(record.spec.id.clone());
-        if let Some(owned) = self.owned.get_mut(&record.part).filter(|o| o.loaded) {
+        for owned in self.owned.values_mut().filter(|o| o.loaded) {
             owned.ledger.put_job(record, stamp, false, now, &config);
         }
     }
 
-    /// The part where a new job can start soonest: where most of it finds its
-    /// image on machines with room, counting what lower ranks would yield, and
-    /// then by free room, less what waits there and what this controller sent
-    /// there since.
-    pub fn choose_part(&mut self, spec: &JobSpec, now: Moment) -> PartId {
+    /// The record of a new job, with the part that is to run it.
+    pub fn new_job(&mut self, spec: JobSpec, at_ms: u64, now: Moment) -> JobRecord {
         let config = Arc::clone(&self.config);
-        let home = spec.id.part(config.parts);
-        let share = |cpus: f64, gpus: f64, memory_gb: f64| {
-            let room = Room {
-                cpus,
-                gpus,
-                memory_gb,
-            };
-            let flavors = config.flavors.values();
-            let shares = flavors.map(|f| room.share_of(&Room::of_flavor(f)));
-            shares.fold(f64::INFINITY, f64::min)
-        };
-        let need = Room::of_task(spec);
-        let size = f64::from(spec.tasks) * share(need.cpus, need.gpus, need.memory_gb);
         self.sent
             .retain(|(at, ..)| now.since(*at) < Duration::from_millis(1500));
-        let parts = self.all_parts(now);
-        let best = parts
-            .values()
-            .filter(|p| !p.rebuilding && self.view.parts.contains_key(&p.part))
-            .map(|p| {
-                let mut free = 0.0;
-                let mut warm = 0;
-                for m in &p.machines {
-                    let Some((record, _)) = self.view.machines.get(&m.machine) else {
-                        continue;
-                    };
-                    if record.spot && !spec.spot {
-                        continue;
-                    }
-                    free += share(m.cpus, m.gpus, m.memory_gb);
-                    if warm >= spec.tasks || !record.images.iter().any(|(n, _)| *n == spec.image) {
-                        continue;
-                    }
-                    let mut room = Room {
-                        cpus: m.cpus,
-                        gpus: m.gpus,
-                        memory_gb: m.memory_gb,
-                    };
-                    for &(_, cpus, gpus, memory_gb) in
-                        m.held.iter().filter(|(rank, ..)| *rank < spec.rank)
-                    {
-                        room += Room {
-                            cpus,
-                            gpus,
-                            memory_gb,
-                        };
-                    }
-                    warm += room.times(&need);
-                }
-                let demand = p.demand.iter().filter(|d| d.rank >= spec.rank);
-                let waiting: f64 = demand
-                    .map(|d| f64::from(d.count) * share(d.cpus, d.gpus, d.memory_gb))
-                    .sum();
-                let sent = self.sent.iter().filter(|(_, part, _)| *part == p.part);
-                let sent: f64 = sent.map(|(.., size)| size).sum();
-                let warm = if sent > 0.0 { 0 } else { warm.min(spec.tasks) };
-                (warm, free - waiting - sent, p.part == home, p.part)
-            })
-            .max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        let part = best.map_or(home, |(.., part)| part);
-        self.sent.push((now, part, size));
-        part
+        let mut sent: BTreeMap<PartId, f64> = BTreeMap::new();
+        for (_, part, size) in &self.sent {
+            *sent.entry(*part).or_default() += size;
+        }
+        let mut parts = self.all_parts(now);
+        parts.retain(|p, _| self.view.parts.contains_key(p));
+        let part = home::choose(&config, &spec, &parts, &self.view.machines, &sent);
+        self.sent.push((now, part, home::size(&config, &spec)));
+        JobRecord {
+            spec,
+            at_ms,
+            part,
+            lent: Vec::new(),
+            done: String::new(),
+        }
     }
 }
 
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -165,13 +165,7 @@
         return answer(shared, &id, &Stored::Over(over));
     }
     let now = shared.clock.now();
-    let record = JobRecord {
-        at_ms: time_of_day_ms(),
-        part: shared.node.lock().choose_part(&spec, now),
-        lent: Vec::new(),
-        done: String::new(),
-        spec,
-    };
+    let record = shared.node.lock().new_job(spec, time_of_day_ms(), now);
     let verdict = match accept(shared, part, &record) {
         Verdict::Refused(e @ StateError::Budget(_)) => shared.intake.join(shared, record, e),
         verdict => verdict,
