--- a/crates/pulleywood-net/src/budget.rs
+++ b/crates/pulleywood-net/src/budget.rs
@@ -13,12 +13,15 @@
     /// Lease renewals and take-overs: whatever they need beyond one token is
     /// owed, since the parts of a restarted controller cannot wait.
     Lease,
-    /// Other fences and machines' records.
+    /// Other fences.
     Owner,
     /// Packs of submissions: two writes accept many.
     Pack,
     /// Users' requests.
     User,
+    /// Machines' records, which launches wait for: a wave of new machines must
+    /// not refuse the few users that come meanwhile.
+    Record,
     /// Jobs that are done: their users ask for it some seconds later.
     Done,
     /// Users' submissions of work that others come before.
@@ -34,6 +37,7 @@
             Class::Lease => 0.0,
             Class::Owner | Class::Pack => 0.05,
             Class::User => 0.1,
+            Class::Record => 0.2,
             Class::Done => 0.25,
             Class::Later => 0.3,
             Class::House => 0.4,
@@ -174,6 +178,7 @@
             (Class::House, 12),
             (Class::Later, 14),
             (Class::Done, 15),
+            (Class::Record, 16),
             (Class::User, 18),
             (Class::Owner, 19),
             (Class::Lease, 20),
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -95,7 +95,7 @@
     /// Takes tokens; classes that can wait do so, briefly.
     pub fn take(&self, class: Class, writes: u32) -> Result<(), StateError> {
         let patience = match class {
-            Class::Lease | Class::Owner => Duration::from_secs(3),
+            Class::Lease | Class::Owner | Class::Record => Duration::from_secs(3),
             Class::User | Class::Later => Duration::ZERO,
             Class::Pack => Duration::from_millis(600),
             Class::Done | Class::House => Duration::from_secs(1),
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -170,7 +170,7 @@
         .when(key.clone(), stamp)
         .when(part_key(part), part_stamp)
         .write(key, &record);
-    match shared.state.commit(Class::Owner, &commit) {
+    match shared.state.commit(Class::Record, &commit) {
         Ok(Outcome::Applied(stamp)) => {
             let now = shared.clock.now();
             shared
