--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -141,7 +141,7 @@
             Ok(true) => std::thread::sleep(GATHER),
             Ok(false) => {}
             Err(StateError::TooOld) => {
-                log::info!("reading everything");
+                log::debug!("reading everything");
                 if let Err(e) = reread(shared) {
                     log::debug!("cannot read: {e}");
                     std::thread::sleep(Duration::from_millis(500));
