Count what must not grow with the fleet; bound tasks on a machine and in an answer

Found while counting: a job of tasks that take next to nothing was placed whole on one machine, whose reports and answers then passed the size of a message and were refused for ever. A machine takes 400 tasks at most, an answer 100 launches.

Tests count bytes of messages and digests for hundreds of machines, writes for a job of a hundred tasks (12 at most), and machines rented over ten rounds.

--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -7,7 +7,7 @@
 
 use crate::config::Config;
 use crate::ledger::{Job, PartLedger, Slot, SlotState};
-use crate::room::{Room, add, within};
+use crate::room::{MOST_TASKS, Room, add, within};
 use pulleywood_wire::job::{Rank, Shape};
 use pulleywood_wire::record::Slots;
 use pulleywood_wire::{JobId, JobSpec, MachineId, Moment, TaskId};
@@ -20,6 +20,8 @@
 const YIELD_S: f64 = 6.0;
 /// Most tasks of a job that one plan leaves for room which yields.
 const MOST_PASSED: u32 = 64;
+/// Most launches in one answer, which has a size too.
+const MOST_LAUNCHES: usize = 100;
 /// A plan is good for this long if nothing changes.
 const PLAN_AGE: Duration = Duration::from_millis(1000);
 
@@ -42,11 +44,14 @@
     pinned: f64,
     /// Tasks expected to end here a second.
     ends: f64,
+    /// Tasks that one plan may still add.
+    left: usize,
 }
 
 impl Site {
     fn allows(&self, spec: &JobSpec) -> bool {
-        (spec.spot || !self.spot)
+        self.left > 0
+            && (spec.spot || !self.spot)
             && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
             && spec.types.as_ref().is_none_or(|t| t.contains(&self.flavor))
     }
@@ -81,6 +86,7 @@
     }
 
     fn take(&mut self, spec: &JobSpec) {
+        self.left = self.left.saturating_sub(1);
         let need = Room::of_task(spec);
         self.free -= need;
         if !spec.spot {
@@ -220,6 +226,9 @@
                 queued_gb,
                 pinned: m.pinned().share_of(&whole),
                 ends,
+                left: (MOST_TASKS as usize)
+                    .saturating_sub(m.slots.len())
+                    .min(MOST_LAUNCHES),
             });
         }
         sites
--- a/crates/pulleywood-core/src/room.rs
+++ b/crates/pulleywood-core/src/room.rs
@@ -8,6 +8,10 @@
 /// Amounts are compared with this tolerance, since they are summed as floats.
 const SLACK: f64 = 1e-6;
 
+/// Most tasks on one machine, however little they take: its reports hold them
+/// all, and a message has a size.
+pub const MOST_TASKS: u32 = 400;
+
 /// Processors, GPUs and memory.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Room {
@@ -67,12 +71,13 @@
             if b > SLACK {
                 ((a + SLACK) / b).floor().max(0.0)
             } else {
-                f64::from(u32::MAX)
+                f64::from(MOST_TASKS)
             }
         };
         part(self.cpus, need.cpus)
             .min(part(self.gpus, need.gpus))
-            .min(part(self.memory_gb, need.memory_gb)) as u32
+            .min(part(self.memory_gb, need.memory_gb))
+            .min(f64::from(MOST_TASKS)) as u32
     }
 
     /// The amounts that count against a team.
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -354,3 +354,30 @@
         assert_eq!(released, expected, "{name}");
     }
 }
+
+#[test]
+fn all_that_is_lacking_is_rented_in_one_round_and_only_once() {
+    // Rounds of 50 were seconds apart, and as long as array work waited, one
+    // more machine was rented in each for the next service job.
+    let mut f = Fleet::new();
+    f.needs(A, demand(400, Rank::Standard, true));
+    let service = demand(4, Rank::Production, false);
+    f.parts.get_mut(&A).unwrap().reserve.push(service);
+    let mut rented = 0;
+    for s in 0..10 {
+        let now = at(f64::from(s));
+        for action in f.decide(now) {
+            if let Action::Hire(kind, count) = action {
+                let names: Vec<MachineId> = (rented..rented + count as usize)
+                    .map(|n| machine(1000 + n))
+                    .collect();
+                rented += count as usize;
+                f.memory.hired(&names, &kind, now);
+            }
+        }
+        if s == 0 {
+            assert!((100..=104).contains(&rented), "{rented} in the first round");
+        }
+    }
+    assert!((100..=104).contains(&rented), "{rented} in ten rounds");
+}
--- /dev/null
+++ b/crates/pulleywood-core/tests/work.rs
@@ -0,0 +1,111 @@
+//! Work that must not grow with the fleet or with a job's size, counted and not
+//! timed: bytes of messages, writes.
+
+mod common;
+
+use common::*;
+use pulleywood_core::room::MOST_TASKS;
+use pulleywood_wire::cbor;
+use pulleywood_wire::pack::Packs;
+use pulleywood_wire::worker::{Cause, ReportAnswer, TaskState};
+use pulleywood_wire::{Attempt, Stamp, TaskId, Term};
+
+/// Most bytes of a message to or from a worker.
+const MESSAGE: usize = 64 * 1024;
+
+#[test]
+fn messages_of_workers_keep_their_size_however_small_the_tasks() {
+    let mut b = Bench::new(&["a"]);
+    let mut tiny = spec(123_456, 100_000);
+    (tiny.cpus.0, tiny.gpus.0, tiny.memory_gb.0) = (0.0, 0.0, 0.0);
+    b.submit(tiny, false);
+    let mut on: Vec<(TaskId, Attempt)> = vec![];
+    for seq in 1..=12 {
+        let tasks = on.iter().map(|(t, a)| state(t, *a, TaskState::Running));
+        let report = b.report(0, seq, tasks.collect());
+        assert!(cbor::encode(&report).len() < MESSAGE);
+        let orders = b.turn(&report, seq as f64);
+        on.extend(launches(&orders));
+        let answer = ReportAnswer {
+            term: Term(5),
+            orders,
+        };
+        assert!(cbor::encode(&answer).len() < MESSAGE);
+    }
+    assert_eq!(on.len(), MOST_TASKS as usize);
+}
+
+#[test]
+fn a_digest_of_hundreds_of_machines_stays_small() {
+    // Machines, and bytes that each may take: about a tenth of a second's worth
+    // of a slow controller's network and processor for all of them.
+    let machines = 300;
+    let mut b = Bench::new(&vec!["a"; machines]);
+    for n in 1..=60 {
+        b.submit(spec(n, 100), false);
+    }
+    for m in 0..machines {
+        let report = b.report(m, 1, vec![]);
+        b.turn(&report, 1.0);
+    }
+    let digest = b.ledger.digest(at(1.5), &b.config);
+    assert_eq!(digest.machines.len(), machines);
+    assert_eq!(
+        digest.demand.len(),
+        1,
+        "demand is told by shape, not by job"
+    );
+    let bytes = cbor::encode(&digest).len();
+    assert!(bytes < machines * 220, "{bytes}");
+}
+
+#[test]
+fn writes_of_a_job_do_not_grow_with_its_tasks() {
+    // Tasks that end one after the other over 100 s, recorded every 200 ms.
+    let tasks = 100;
+    let mut b = Bench::new(&vec!["a"; 25]);
+    b.submit(spec(1, tasks), false);
+    let mut on: Vec<Vec<(TaskId, Attempt)>> = vec![vec![]; 25];
+    for (m, on) in on.iter_mut().enumerate() {
+        let report = b.report(m, 1, vec![]);
+        on.extend(launches(&b.turn(&report, 1.0)));
+    }
+    // The plan fills machines as they are heard.
+    let mut ended = 0;
+    let mut seq = 1;
+    let mut writes = 0;
+    for step in 0..1200 {
+        let s = 2.0 + f64::from(step) * 0.2;
+        if step % 5 == 0 {
+            seq += 1;
+            let mut end = true;
+            for (m, on) in on.iter_mut().enumerate() {
+                let done = if end && !on.is_empty() {
+                    end = false;
+                    Some(on.remove(0))
+                } else {
+                    None
+                };
+                ended += usize::from(done.is_some());
+                let mut seen: Vec<_> = on
+                    .iter()
+                    .map(|(t, a)| state(t, *a, TaskState::Running))
+                    .collect();
+                seen.extend(done.iter().map(|(t, a)| exited(t, *a, Cause::Done)));
+                let report = b.report(m, seq, seen);
+                on.extend(launches(&b.turn(&report, s)));
+            }
+        }
+        b.ledger.tick(at(s), &b.config);
+        if let Some(batch) = b
+            .ledger
+            .batch(Stamp(1), &Packs::default(), at(s), &b.config)
+        {
+            writes += batch.commit.changes.len();
+            b.ledger.batch_applied(&batch, Stamp(100 + step as u64));
+        }
+    }
+    assert_eq!(ended, tasks as usize);
+    assert!(b.ledger.jobs.is_empty(), "the job is over");
+    assert!(writes <= 12, "{writes} writes for {tasks} tasks");
+}
