--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -1140,6 +1140,23 @@
         std::mem::take(&mut self.started)
     }
 
+    /// Whether its workers cannot reach this owner: some machines have been its
+    /// own for long enough, and none of them has been heard. If it were the
+    /// machines that are gone, another owner would lose nothing by them.
+    pub fn hears_nobody(&self, now: Moment, config: &Config) -> bool {
+        const FEW: usize = 3;
+        let bound = (config.report * 2 + Duration::from_secs(1)).max(config.lease.mul_f64(0.3));
+        let mut known = 0;
+        for machine in self.machines.values() {
+            let last = machine.heard.unwrap_or(machine.joined).max(machine.joined);
+            if now.since(last) < bound {
+                return false;
+            }
+            known += usize::from(now.since(last) < config.lease * 2);
+        }
+        known >= FEW
+    }
+
     /// Records of machines whose images have changed since they were written.
     pub fn new_images(&self) -> Vec<(MachineId, MachineRecord, Stamp)> {
         self.machines
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -488,3 +488,29 @@
         assert_eq!(batch.is_some(), recorded, "{name}");
     }
 }
+
+#[test]
+fn an_owner_notices_that_no_worker_reaches_it() {
+    // (machines, those heard lately, seconds since the others were, noticed)
+    let cases = [
+        ("all are heard", 4, 4, 0.0, false),
+        ("none for three reports", 4, 0, 3.5, true),
+        ("none for one report", 4, 0, 1.5, false),
+        ("one is heard", 4, 1, 5.0, false),
+        ("two machines may be gone", 2, 0, 5.0, false),
+        ("machines that are long gone", 4, 0, 60.0, false),
+    ];
+    for (name, machines, heard, s, noticed) in cases {
+        let mut b = Bench::new(&vec!["a"; machines]);
+        for m in 0..machines {
+            let report = b.report(m, 1, vec![]);
+            b.turn(&report, 1.0);
+        }
+        let now = 1.0 + s;
+        for m in 0..heard {
+            let report = b.report(m, 2, vec![]);
+            b.turn(&report, now);
+        }
+        assert_eq!(b.ledger.hears_nobody(at(now), &b.config), noticed, "{name}");
+    }
+}
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -164,6 +164,9 @@
     pub owned: BTreeMap<PartId, Owned>,
     /// Others' digests and when they came.
     pub digests: BTreeMap<MemberId, (Digest, Moment)>,
+    /// Parts were given up for want of workers that reach this controller: none
+    /// is taken until then, and how often that has happened in a row.
+    pub unreached: (Moment, u32),
     /// Jobs that ended by transactions of this controller which the watch is
     /// yet to bring: an older change that comes before would revive them.
     pub ended: BTreeMap<JobId, Stamp>,
@@ -195,7 +198,7 @@
             boot: self.boot,
             seq: self.digests_sent.fetch_add(1, Ordering::Relaxed) + 1,
             state_ok,
-            fit: node.viewed && node.lease.permit.is_some() && state_ok,
+            fit: node.viewed && node.lease.permit.is_some() && state_ok && now >= node.unreached.0,
             refusing: self.refusing(now),
             serving: node.serving(now),
             parts: node.part_digests(now),
@@ -214,6 +217,7 @@
             caught_up: Moment::default(),
             owned: BTreeMap::new(),
             digests: BTreeMap::new(),
+            unreached: (Moment(0), 0),
             ended: BTreeMap::new(),
             former: VecDeque::new(),
             sent: Vec::new(),
@@ -250,6 +254,16 @@
         owned.map(|(p, o)| (*p, o.ledger.term)).collect()
     }
 
+    /// No worker reaches this controller: it holds no part for a while, longer
+    /// each time in a row.
+    pub fn give_up_parts(&mut self, now: Moment) {
+        let (until, times) = self.unreached;
+        let in_a_row = now.since(until) < Duration::from_secs(120);
+        let times = if in_a_row { times + 1 } else { 0 };
+        let wait = self.config.lease * (4 << times.min(3));
+        self.unreached = (now + wait, times);
+    }
+
     /// Digests of the parts held here.
     pub fn part_digests(&self, now: Moment) -> Vec<PartDigest> {
         self.owned
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -132,6 +132,12 @@
                 take(shared, part, permit)
             }
             Step::HandBack(part) => hand_back(shared, part),
+            Step::GiveUp(part) => {
+                log::info!("no worker of part {part} is heard here");
+                let now = shared.clock.now();
+                shared.node.lock().give_up_parts(now);
+                hand_back(shared, part)
+            }
             Step::Disown(part, stamp) => disown(shared, part, stamp),
             Step::Settle(part) => settle(shared, part),
         };
@@ -162,6 +168,8 @@
     HandBack(PartId),
     /// A transaction that was given up on was applied after all.
     Disown(PartId, Stamp),
+    /// No worker reaches this owner.
+    GiveUp(PartId),
     /// Every machine that came with the part is accounted for.
     Settle(PartId),
 }
@@ -188,6 +196,15 @@
     };
     let mut members: Vec<&MemberId> = shared.peers.keys().chain([&shared.me]).collect();
     members.sort();
+    // Workers that reach nobody here may reach another.
+    let other = members.iter().any(|m| fresh(m).is_some_and(|d| d.fit));
+    let alone = |o: &Owned| o.loaded && !o.leaving && o.ledger.hears_nobody(now, &node.config);
+    if other && let Some((p, _)) = node.owned.iter().find(|(_, o)| alone(o)) {
+        return Step::GiveUp(*p);
+    }
+    if now < node.unreached.0 {
+        return Step::Nothing;
+    }
     let preferred = |p: PartId| members[p.0 as usize % members.len()];
     let partless = |m: &&MemberId| fresh(m).is_some_and(|d| d.fit && d.serving.is_empty());
     let mut best: Option<(bool, PartId)> = None;
@@ -568,7 +585,7 @@
 /// Gives a part to a controller that has none: launches stop, what is done is
 /// committed, and the part's key is deleted.
 fn hand_back(shared: &Arc<Shared>, part: PartId) -> Result<(), StateError> {
-    log::info!("handing part {part} back");
+    log::info!("giving part {part} to another controller");
     let stamp = {
         let mut node = shared.node.lock();
         let Some(owned) = node.owned.get_mut(&part) else {
