--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -62,13 +62,6 @@
     /// Defaults that follow from the platform's settings.
     pub fn defaults(settings: &Settings) -> Self {
         let workers = &settings.cluster.workers;
-        // Half of what work within a guarantee may wait, and never so long
-        // that anybody's would seem forgotten.
-        let guarantees = settings.cluster.objectives.iter();
-        let patience = guarantees
-            .filter(|o| o.kind == "guarantee")
-            .map(|o| o.within_s / 2.0)
-            .fold(60.0, f64::min);
         Self {
             weights: BTreeMap::new(),
             part_lease_s: (workers.lease_s * 0.5).clamp(3.0, 10.0),
@@ -77,7 +70,7 @@
             overflow: 0.75,
             idle_s: 45.0,
             spot_bias_s: 30.0,
-            patience_s: patience.max(10.0),
+            patience_s: 60.0,
             sick_jobs: 2,
         }
     }
