Show that a backlog of questions costs a few reads

Forty jobs asked about at three controllers at once, after an outage and a restart of all: fewer reads of the state service than half of the questions (with a read for each it was one or more per question). The code already holds; the test is new.

--- a/crates/pulleywood-standins/src/state.rs
+++ b/crates/pulleywood-standins/src/state.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// What is wrong between one controller and the state service.
@@ -54,6 +55,8 @@
 struct Shared {
     store: Mutex<Store>,
     changed: Condvar,
+    /// Reads of single jobs, and of what changed that do not wait.
+    reads: AtomicU64,
 }
 
 /// One controller's way to the service.
@@ -96,6 +99,12 @@
         }
     }
 
+    /// How often a job was read, or what changed was read at once: what is done
+    /// when users ask.
+    pub fn reads(&self) -> u64 {
+        self.shared.reads.load(Ordering::Relaxed)
+    }
+
     /// All keys with a prefix, for checks.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let store = self.shared.store.lock();
@@ -351,7 +360,15 @@
             }
             _ => {}
         }
-        if request.path == "/follow" {
+        let follow = request.path == "/follow";
+        let at_once = follow && query(request.query, "wait_ms") == Some("0");
+        let of_a_job = ["/store/c/job/", "/store/over/"]
+            .iter()
+            .any(|p| request.path.starts_with(p));
+        if at_once || of_a_job {
+            self.shared.reads.fetch_add(1, Ordering::Relaxed);
+        }
+        if follow {
             return self.follow(request);
         }
         self.execute(request)
--- a/crates/pulleywood/tests/failures.rs
+++ b/crates/pulleywood/tests/failures.rs
@@ -700,3 +700,46 @@
     }
     stage.finish();
 }
+
+#[test]
+fn a_backlog_of_questions_costs_a_few_reads() {
+    // After an outage every user asks at once, whoever is asked. A read for
+    // each question used up the state service's rate, and some jobs were not
+    // answered about for long.
+    let mut stage = Stage::new(0.0);
+    let mut specs: Vec<JobSpec> = (1..=40).map(|n| job(n, 1)).collect();
+    for spec in &mut specs {
+        spec.shape = Shape::Service;
+        stage.submit(spec, LONG);
+    }
+    stage.set_all(Fault::Refuse);
+    for n in 0..CONTROLLERS {
+        stage.kill(n);
+    }
+    for n in 0..CONTROLLERS {
+        stage.start(n);
+    }
+    stage.state.extend_leases();
+    stage.set_all(Fault::None);
+    for n in 0..CONTROLLERS {
+        stage.wait_ready(n);
+    }
+    let before = stage.state.reads();
+    std::thread::scope(|scope| {
+        for spec in &specs {
+            for n in 0..CONTROLLERS {
+                let stage = &stage;
+                scope.spawn(move || {
+                    wait("answered", || stage.status(n, &spec.id).is_some());
+                });
+            }
+        }
+    });
+    let reads = stage.state.reads() - before;
+    let questions = (specs.len() * CONTROLLERS) as u64;
+    assert!(
+        reads < questions / 2,
+        "{reads} reads for {questions} questions"
+    );
+    stage.finish();
+}
