--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -32,13 +32,6 @@
             }
             self.add_demand(&mut demand, job);
         }
-        let running = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.active.is_empty())
-            .map(|(id, _)| (id.clone(), self.running(id)))
-            .filter(|(_, n)| *n > 0)
-            .collect();
         PartDigest {
             part: self.part,
             rebuilding: self.rebuilding(),
@@ -47,7 +40,7 @@
             machines: self.machine_digests(now, config),
             used,
             wanted,
-            running,
+            running: self.all_running(),
         }
     }
 
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -10,6 +10,7 @@
 use pulleywood_wire::time::secs;
 use pulleywood_wire::{MachineId, Moment, PartId};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// One kind of machine: type, zone, spot.
@@ -118,7 +119,7 @@
     /// All machines' records.
     pub records: &'a BTreeMap<MachineId, MachineRecord>,
     /// Fresh digests of owned parts.
-    pub parts: &'a BTreeMap<PartId, PartDigest>,
+    pub parts: &'a BTreeMap<PartId, Arc<PartDigest>>,
     /// The newest machine list, if one came lately.
     pub list: Option<&'a [Rental]>,
     /// There is more work than the digests show: no machine is emptied or
@@ -191,6 +192,10 @@
     /// None while it is on its way: any part may adopt it.
     part: Option<PartId>,
     kind: Kind,
+    /// It reports.
+    up: bool,
+    /// It is idle, or not known to be busy.
+    idle: bool,
     free: Room,
     whole: Room,
     taken: u32,
@@ -207,6 +212,8 @@
             machine,
             part: None,
             kind,
+            up: false,
+            idle: false,
             free: whole,
             whole,
             taken: 0,
@@ -314,6 +321,8 @@
                 zone: record.zone.clone(),
                 spot: record.spot,
             },
+            up: digest.is_some_and(|(m, _)| m.silent_s >= 0.0),
+            idle: digest.is_none_or(|(m, _)| m.idle_s >= 1.0),
             free,
             whole,
             taken: 0,
@@ -363,19 +372,17 @@
         let mut left = demand.count;
         // Room of the part itself, on machines that are up.
         left = fill(&mut bins, left, demand, &need, |b| {
-            b.part == Some(part) && up(b, &digests)
+            b.part == Some(part) && b.up
         });
         // Idle machines of other parts are moved.
         while left > 0 {
             let idle = bins.iter().position(|b| {
                 b.part.is_some_and(|p| p != part)
                     && b.taken == 0
-                    && b.machine.as_ref().is_some_and(|m| {
-                        !memory.moved.contains_key(m)
-                            && digests.get(m).is_none_or(|(d, _)| d.idle_s >= 1.0)
-                    })
-                    && allows(demand, &b.kind)
+                    && b.idle
                     && b.free.fits(&need)
+                    && allows(demand, &b.kind)
+                    && (b.machine.as_ref()).is_some_and(|m| !memory.moved.contains_key(m))
             });
             let Some(at) = idle else { break };
             let bin = &mut bins[at];
@@ -391,7 +398,7 @@
             for other in seen.parts.keys().filter(|p| **p != part) {
                 let before = left;
                 left = fill(&mut bins, left, demand, &need, |b| {
-                    b.part == Some(*other) && up(b, &digests)
+                    b.part == Some(*other) && b.up
                 });
                 if left < before {
                     let lent = Demand {
@@ -404,13 +411,13 @@
         }
         // What lower ranks hold yields, here or in another part.
         left = press(&mut bins, left, demand, &need, |b| {
-            b.part == Some(part) && up(b, &digests)
+            b.part == Some(part) && b.up
         });
         if demand.free && left > 0 {
             for other in seen.parts.keys().filter(|p| **p != part) {
                 let before = left;
                 left = press(&mut bins, left, demand, &need, |b| {
-                    b.part == Some(*other) && up(b, &digests)
+                    b.part == Some(*other) && b.up
                 });
                 if left < before {
                     let lent = Demand {
@@ -425,6 +432,11 @@
         left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         // The rest is rented.
         let mut guard = 0;
+        let mut all = if left > 0 && demand.spot {
+            slots(&bins, demand, &need)
+        } else {
+            0.0
+        };
         while left > 0 && guard < MAX_HIRE {
             guard += 1;
             let Some((kind, flavor)) = cheapest(config, memory, demand, &need, now, &hires) else {
@@ -434,13 +446,16 @@
             // made room before a dearer machine is up, unless much waits.
             if demand.spot && !kind.spot {
                 let patience = flavor.boot_s.0 * config.policy.overflow;
-                if queued_s <= patience * slots(&bins, demand, &need) {
+                if queued_s <= patience * all {
                     break;
                 }
             }
-            bins.push(Bin::fresh(None, kind.clone(), flavor));
+            let mut bin = [Bin::fresh(None, kind.clone(), flavor)];
+            all += slots(&bin, demand, &need);
+            // All before it are as full as they get.
+            left = fill(&mut bin, left, demand, &need, |_| true);
+            bins.extend(bin);
             *hires.entry(kind).or_insert(0) += 1;
-            left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
         }
     }
     for demand in reserves(config, seen) {
@@ -453,9 +468,10 @@
             let Some((kind, flavor)) = cheapest(config, memory, &demand, &need, now, &hires) else {
                 break;
             };
-            bins.push(Bin::fresh(None, kind.clone(), flavor));
+            let mut bin = [Bin::fresh(None, kind.clone(), flavor)];
+            left = fill(&mut bin, left, &demand, &need, |_| true);
+            bins.extend(bin);
             *hires.entry(kind).or_insert(0) += 1;
-            left = fill(&mut bins, left, &demand, &need, |_| true);
         }
     }
     for (kind, count) in hires {
@@ -490,14 +506,6 @@
     all
 }
 
-/// A machine that reports.
-fn up(bin: &Bin, digests: &BTreeMap<&MachineId, (&MachineDigest, PartId)>) -> bool {
-    bin.machine
-        .as_ref()
-        .and_then(|m| digests.get(m))
-        .is_some_and(|(d, _)| d.silent_s >= 0.0)
-}
-
 /// Tasks of one shape that all machines together run at a time, beside work
 /// bound to ordinary machines.
 fn slots(bins: &[Bin], demand: &Demand, need: &Room) -> f64 {
@@ -542,10 +550,15 @@
         if left == 0 {
             break;
         }
-        if !of(bin) || !allows(demand, &bin.kind) {
+        if !of(bin) {
+            continue;
+        }
+        let room = room(bin);
+        // Most are full, which is quicker to see than what is allowed there.
+        if !room.fits(need) || !allows(demand, &bin.kind) {
             continue;
         }
-        let n = room(bin).times(need).min(left);
+        let n = room.times(need).min(left);
         for _ in 0..n {
             bin.free -= *need;
         }
--- a/crates/pulleywood-core/src/home.rs
+++ b/crates/pulleywood-core/src/home.rs
@@ -7,6 +7,7 @@
 use pulleywood_wire::record::MachineRecord;
 use pulleywood_wire::{MachineId, PartId, Stamp};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// What one part offers a job.
 struct Offer {
@@ -60,7 +61,7 @@
 pub fn choose(
     config: &Config,
     spec: &JobSpec,
-    parts: &BTreeMap<PartId, PartDigest>,
+    parts: &BTreeMap<PartId, Arc<PartDigest>>,
     machines: &BTreeMap<MachineId, (MachineRecord, Stamp)>,
     sent: &BTreeMap<PartId, f64>,
 ) -> PartId {
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -368,6 +368,8 @@
     pub(crate) plan: BTreeMap<MachineId, Vec<TaskId>>,
     pub(crate) planned_at: Option<Moment>,
     pub(crate) dirty_jobs: BTreeSet<JobId>,
+    /// Machines looked at for jobs by all plans so far: what planning costs.
+    pub looks: u64,
     attempts: u64,
     started: Vec<Started>,
 }
@@ -388,6 +390,7 @@
             plan: BTreeMap::new(),
             planned_at: None,
             dirty_jobs: BTreeSet::new(),
+            looks: 0,
             attempts: 0,
             started: Vec::new(),
         }
@@ -1187,15 +1190,13 @@
     /// Slots in use or perhaps in use by team. A machine whose tasks are not
     /// all known counts in full against every limited team.
     pub fn used(&self, config: &Config) -> BTreeMap<String, Slots> {
-        let mut used: BTreeMap<String, Slots> = BTreeMap::new();
+        let mut by_team: BTreeMap<&str, Slots> = BTreeMap::new();
         let mut unknown = Slots::default();
         for machine in self.machines.values() {
             for slot in machine.slots.iter().filter(|s| s.holds_room()) {
                 if let Some(spec) = &slot.spec {
-                    add(
-                        used.entry(spec.team.clone()).or_default(),
-                        Room::of_task(spec).slots(),
-                    );
+                    let sum = by_team.entry(&spec.team).or_default();
+                    add(sum, Room::of_task(spec).slots());
                 }
             }
             if machine.unheard || machine.has_foreign() {
@@ -1211,6 +1212,9 @@
                 add(&mut unknown, whole.slots());
             }
         }
+        let by_team = by_team.into_iter();
+        let mut used: BTreeMap<String, Slots> =
+            by_team.map(|(team, s)| (team.to_owned(), s)).collect();
         for (name, team) in &config.teams {
             if team.limited() {
                 add(used.entry(name.clone()).or_default(), unknown);
@@ -1219,6 +1223,18 @@
         used
     }
 
+    /// Running tasks of all live jobs that have some, in one pass.
+    pub fn all_running(&self) -> Vec<(JobId, u32)> {
+        let mut counts: BTreeMap<&JobId, u32> = BTreeMap::new();
+        for slot in self.machines.values().flat_map(|m| &m.slots) {
+            if matches!(slot.state, SlotState::Running | SlotState::Saving) {
+                *counts.entry(&slot.task.job).or_insert(0) += 1;
+            }
+        }
+        counts.retain(|id, _| self.jobs.get(*id).is_some_and(|j| !j.active.is_empty()));
+        counts.into_iter().map(|(id, n)| (id.clone(), n)).collect()
+    }
+
     /// Running tasks of a job.
     pub fn running(&self, id: &JobId) -> u32 {
         let Some(job) = self.jobs.get(id) else {
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -11,7 +11,7 @@
 use pulleywood_wire::job::{Rank, Shape};
 use pulleywood_wire::record::Slots;
 use pulleywood_wire::{JobId, JobSpec, MachineId, Moment, TaskId};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Tasks of a job that begin when it has waited long enough.
@@ -26,10 +26,11 @@
 const PLAN_AGE: Duration = Duration::from_millis(1000);
 
 /// A machine as the plan sees it.
-struct Site {
-    id: MachineId,
-    zone: String,
-    flavor: String,
+struct Site<'a> {
+    id: &'a MachineId,
+    slots: &'a [Slot],
+    zone: &'a str,
+    flavor: &'a str,
     spot: bool,
     whole: Room,
     free: Room,
@@ -37,8 +38,8 @@
     coming: Room,
     fetch_rate: f64,
     /// Images present, and those being fetched with the GB still queued.
-    images: Vec<String>,
-    fetching: Vec<String>,
+    images: &'a VecDeque<(String, f64)>,
+    fetching: Vec<&'a str>,
     queued_gb: f64,
     /// Share held by tasks that may not run on spot machines.
     pinned: f64,
@@ -46,23 +47,38 @@
     ends: f64,
     /// Tasks that one plan may still add.
     left: usize,
+    /// What this plan adds.
+    planned: Vec<TaskId>,
+    /// Slots that this plan stops, with their leeway.
+    halts: Vec<(usize, f64)>,
 }
 
-impl Site {
+impl<'a> Site<'a> {
     fn allows(&self, spec: &JobSpec) -> bool {
         self.left > 0
             && (spec.spot || !self.spot)
-            && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
-            && spec.types.as_ref().is_none_or(|t| t.contains(&self.flavor))
+            && spec.zone.as_ref().is_none_or(|z| z == self.zone)
+            && spec
+                .types
+                .as_ref()
+                .is_none_or(|t| t.iter().any(|t| t == self.flavor))
+    }
+
+    fn has_image(&self, spec: &JobSpec) -> bool {
+        self.images.iter().any(|(n, _)| *n == spec.image)
+    }
+
+    fn fetches(&self, spec: &JobSpec) -> bool {
+        self.fetching.contains(&spec.image.as_str())
     }
 
     /// Seconds until a task with this image could start.
     fn delay(&self, spec: &JobSpec) -> f64 {
-        if spec.image_gb.0 <= 0.0 || self.images.contains(&spec.image) {
+        if spec.image_gb.0 <= 0.0 || self.has_image(spec) {
             return 0.0;
         }
         let rate = self.fetch_rate.max(0.001);
-        if self.fetching.contains(&spec.image) {
+        if self.fetches(spec) {
             return self.queued_gb / rate * 0.5;
         }
         (self.queued_gb + spec.image_gb.0) / rate
@@ -85,18 +101,19 @@
         self.delay(spec) + bias + 10.0 * spread
     }
 
-    fn take(&mut self, spec: &JobSpec) {
+    fn take(&mut self, id: &JobId, index: u32, spec: &'a JobSpec) {
+        self.planned.push(TaskId {
+            job: id.clone(),
+            index,
+        });
         self.left = self.left.saturating_sub(1);
         let need = Room::of_task(spec);
         self.free -= need;
         if !spec.spot {
             self.pinned += need.share_of(&self.whole);
         }
-        if spec.image_gb.0 > 0.0
-            && !self.images.contains(&spec.image)
-            && !self.fetching.contains(&spec.image)
-        {
-            self.fetching.push(spec.image.clone());
+        if spec.image_gb.0 > 0.0 && !self.has_image(spec) && !self.fetches(spec) {
+            self.fetching.push(&spec.image);
             self.queued_gb += spec.image_gb.0;
         }
     }
@@ -116,8 +133,9 @@
 }
 
 /// A waiting job in the order of a plan.
-struct Turn {
-    id: JobId,
+struct Turn<'a> {
+    id: &'a JobId,
+    job: &'a Job,
     rank: Rank,
     /// Expectations that can still be met, for the work that it takes. When
     /// more waits than fits, this keeps the most promises.
@@ -130,7 +148,7 @@
 }
 
 /// Tasks a second that end on machines which have the job's image.
-fn warm_rate(sites: &[Site], spec: &JobSpec) -> f64 {
+fn warm_rate(sites: &[Site<'_>], spec: &JobSpec) -> f64 {
     sites
         .iter()
         .filter(|s| s.allows(spec) && s.delay(spec) <= 0.0)
@@ -145,40 +163,54 @@
             return;
         }
         self.planned_at = Some(now);
-        self.plan.clear();
-        let mut sites = self.sites(now, config);
-        let mut used = self.used(config);
-        let mut unplaced: Vec<JobId> = Vec::new();
-        let mut ahead = 0;
-        let mut kept = false;
+        let (plan, halts, looks) = self.make_plan(now, config);
+        self.plan = plan;
+        self.looks += looks;
+        for (id, at, leeway) in halts {
+            let machine = self.machines.get_mut(&id);
+            if let Some(slot) = machine.and_then(|m| m.slots.get_mut(at)) {
+                slot.halt = Some(leeway);
+            }
+        }
+    }
+
+    /// What each machine is given when it reports, and which slots are to stop.
+    fn make_plan(&self, now: Moment, config: &Config) -> (Plan, Halts, u64) {
         let mut queues = self.queues(now, config);
-        while let Some(team) = self.next_team(&queues, &used, config) {
-            let Some(queue) = queues.get_mut(&team) else {
+        // Most reports of a quiet fleet find nothing that waits.
+        if queues.is_empty() {
+            return Default::default();
+        }
+        let mut planner = Planner::new(self, now, config, &queues);
+        let mut unplaced: Vec<Turn<'_>> = Vec::new();
+        while let Some(team) = planner.next_team(&queues) {
+            let Some(queue) = queues.get_mut(team) else {
                 break;
             };
             let Some(turn) = queue.pop() else {
-                queues.remove(&team);
+                queues.remove(team);
                 continue;
             };
-            if self.place(&turn, &mut sites, &mut used, &mut ahead, config) {
+            if planner.place(&turn) {
                 continue;
             }
-            if turn.worth == f64::INFINITY && !kept {
-                kept = self.keep_room(&turn.id, &mut sites);
+            if turn.worth == f64::INFINITY && !planner.kept {
+                planner.kept = planner.keep_room(turn.job);
             }
             if !turn.again {
-                unplaced.push(turn.id);
+                unplaced.push(turn);
             }
         }
-        for id in unplaced {
-            self.preempt(&id, &mut sites, &used, now, config);
+        for turn in unplaced {
+            planner.preempt(&turn);
         }
+        planner.finish()
     }
 
     /// Machines that may be given tasks now.
-    fn sites(&self, now: Moment, config: &Config) -> Vec<Site> {
+    fn sites(&self, now: Moment, config: &Config) -> Vec<Site<'_>> {
         let fresh = config.report.mul_f64(3.0) + Duration::from_secs(1);
-        let mut sites = Vec::new();
+        let mut sites = Vec::with_capacity(self.machines.len());
         for (id, m) in &self.machines {
             let heard = m.heard.is_some_and(|at| now.since(at) < fresh);
             let usable = m.confirmed
@@ -193,63 +225,78 @@
                 continue;
             };
             let whole = Room::of_flavor(flavor);
+            let mut free = whole;
+            let mut pinned = Room::default();
             let mut coming = Room::default();
-            let mut fetching = Vec::new();
+            let mut fetching: Vec<&str> = Vec::new();
             let mut queued_gb = 0.0;
             let mut ends = 0.0;
             for slot in m.slots.iter().filter(|s| s.holds_room()) {
                 let Some(spec) = &slot.spec else { continue };
+                let room = Room::of_task(spec);
+                free -= room;
+                if !spec.spot {
+                    pinned += room;
+                }
                 if slot.halt.is_some() {
-                    coming += Room::of_task(spec);
+                    coming += room;
                 }
                 if spec.shape != Shape::Service && slot.state == SlotState::Running {
                     ends += 1.0 / spec.estimate_s.0.max(5.0);
                 }
                 let waits = matches!(slot.state, SlotState::Sent { .. } | SlotState::Fetching);
-                let has = m.images.iter().any(|(n, _)| *n == spec.image);
-                if waits && !has && !fetching.contains(&spec.image) {
-                    fetching.push(spec.image.clone());
+                if waits
+                    && !fetching.contains(&spec.image.as_str())
+                    && !m.images.iter().any(|(n, _)| *n == spec.image)
+                {
+                    fetching.push(&spec.image);
                     queued_gb += spec.image_gb.0;
                 }
             }
             sites.push(Site {
-                id: id.clone(),
-                zone: m.record.zone.clone(),
-                flavor: m.record.flavor.clone(),
+                id,
+                slots: &m.slots,
+                zone: &m.record.zone,
+                flavor: &m.record.flavor,
                 spot: m.record.spot,
                 whole,
-                free: m.free(whole),
+                free,
                 coming,
                 fetch_rate: flavor.fetch_gb_per_s.0,
-                images: m.images.iter().map(|(n, _)| n.clone()).collect(),
+                images: &m.images,
                 fetching,
                 queued_gb,
-                pinned: m.pinned().share_of(&whole),
+                pinned: pinned.share_of(&whole),
                 ends,
                 left: (MOST_TASKS as usize)
                     .saturating_sub(m.slots.len())
                     .min(MOST_LAUNCHES),
+                planned: Vec::new(),
+                halts: Vec::new(),
             });
         }
         sites
     }
 
     /// Waiting jobs by team, next one last.
-    fn queues(&self, now: Moment, config: &Config) -> BTreeMap<String, Vec<Turn>> {
-        let mut queues: BTreeMap<String, Vec<Turn>> = BTreeMap::new();
+    fn queues(&self, now: Moment, config: &Config) -> BTreeMap<&str, Vec<Turn<'_>>> {
+        let mut queues: BTreeMap<&str, Vec<Turn<'_>>> = BTreeMap::new();
+        let rebuilding = self.rebuilding();
         for (id, job) in &self.jobs {
-            if job.waiting.is_empty() || now < job.held_until || self.may_run_unseen(job) {
+            let unseen = rebuilding && self.may_run_unseen(job);
+            if job.waiting.is_empty() || now < job.held_until || unseen {
                 continue;
             }
             let turn = |worth, most, again| Turn {
-                id: id.clone(),
+                id,
+                job,
                 rank: job.spec.rank,
                 worth,
                 at_ms: job.at_ms,
                 most,
                 again,
             };
-            let queue = queues.entry(job.spec.team.clone()).or_default();
+            let queue = queues.entry(&job.spec.team).or_default();
             // Nobody waits for ever to begin, however much comes in: large jobs
             // lose by worth to small ones, which kept some from their first
             // task for seven minutes.
@@ -270,7 +317,7 @@
                 a.rank
                     .cmp(&b.rank)
                     .then(a.worth.total_cmp(&b.worth))
-                    .then((b.at_ms, &b.id).cmp(&(a.at_ms, &a.id)))
+                    .then((b.at_ms, b.id).cmp(&(a.at_ms, a.id)))
             });
         }
         queues
@@ -296,42 +343,127 @@
         }
         sum
     }
+}
+
+/// Launches by machine.
+type Plan = BTreeMap<MachineId, Vec<TaskId>>;
+/// Slots of machines to stop, with their leeway.
+type Halts = Vec<(MachineId, usize, f64)>;
+
+/// One plan being made. Its work is bounded by machines that have room, not by
+/// all of them for each waiting task: with hundreds of machines a plan that
+/// looked at each for each task took most of a controller's processor.
+struct Planner<'a> {
+    ledger: &'a PartLedger,
+    config: &'a Config,
+    now: Moment,
+    sites: Vec<Site<'a>>,
+    /// Sites with room for the smallest task that waits.
+    open: Vec<usize>,
+    /// Sites where tasks were told to stop.
+    coming: BTreeSet<usize>,
+    smallest: Room,
+    used: BTreeMap<String, Slots>,
+    /// Lowest rank that holds room, and teams that do.
+    lowest: Option<Rank>,
+    holders: BTreeSet<&'a str>,
+    ahead: u32,
+    /// A machine's room was kept for a job that fits nowhere.
+    kept: bool,
+    /// Machines looked at for jobs.
+    looks: std::cell::Cell<u64>,
+}
+
+impl<'a> Planner<'a> {
+    fn new(
+        ledger: &'a PartLedger,
+        now: Moment,
+        config: &'a Config,
+        queues: &BTreeMap<&str, Vec<Turn<'_>>>,
+    ) -> Self {
+        let most = Room {
+            cpus: f64::INFINITY,
+            gpus: f64::INFINITY,
+            memory_gb: f64::INFINITY,
+        };
+        let waiting = queues.values().flatten();
+        let smallest = waiting.fold(most, |a, t| a.least(&Room::of_task(&t.job.spec)));
+        let sites = ledger.sites(now, config);
+        let mut lowest: Option<Rank> = None;
+        let mut holders = BTreeSet::new();
+        for slot in sites.iter().flat_map(|s| s.slots) {
+            if let Some(spec) = slot.spec.as_ref().filter(|_| slot.holds_room()) {
+                lowest = Some(lowest.map_or(spec.rank, |l| l.min(spec.rank)));
+                holders.insert(spec.team.as_str());
+            }
+        }
+        let mut planner = Planner {
+            ledger,
+            config,
+            now,
+            open: (0..sites.len()).collect(),
+            coming: (0..sites.len())
+                .filter(|&at| sites[at].coming != Room::default())
+                .collect(),
+            sites,
+            smallest,
+            used: ledger.used(config),
+            lowest,
+            holders,
+            ahead: 0,
+            kept: false,
+            looks: std::cell::Cell::new(0),
+        };
+        planner.close_full();
+        planner
+    }
+
+    fn close_full(&mut self) {
+        let (sites, smallest) = (&self.sites, &self.smallest);
+        self.open
+            .retain(|&at| sites[at].left > 0 && sites[at].free.fits(smallest));
+    }
+
+    fn finish(self) -> (Plan, Halts, u64) {
+        let mut plan = Plan::new();
+        let mut halts = Halts::new();
+        for site in self.sites {
+            for (at, leeway) in site.halts {
+                halts.push((site.id.clone(), at, leeway));
+            }
+            if !site.planned.is_empty() {
+                plan.insert(site.id.clone(), site.planned);
+            }
+        }
+        (plan, halts, self.looks.get())
+    }
 
     /// The team whose turn it is: work within a guarantee first, then rank,
     /// then the least use for its weight.
-    fn next_team(
-        &self,
-        queues: &BTreeMap<String, Vec<Turn>>,
-        used: &BTreeMap<String, Slots>,
-        config: &Config,
-    ) -> Option<String> {
+    fn next_team<'q>(&self, queues: &BTreeMap<&'q str, Vec<Turn<'_>>>) -> Option<&'q str> {
         queues
             .iter()
             .filter_map(|(name, queue)| {
                 let turn = queue.last()?;
-                let spec = &self.jobs.get(&turn.id)?.spec;
-                let mut with = self.everywhere(name, used);
-                let weight = config.teams.get(name).map_or(1.0, |t| t.weight).max(1e-6);
+                let mut with = self.ledger.everywhere(name, &self.used);
+                let team = self.config.teams.get(*name);
+                let weight = team.map_or(1.0, |t| t.weight).max(1e-6);
                 let load = (with.gpus.0 * 1000.0 + with.cpus.0) / weight;
-                add(&mut with, Room::of_task(spec).slots());
-                let within = config.teams.get(name).is_some_and(|t| t.guarantees(with));
-                Some((within, turn.rank, load, name))
+                add(&mut with, Room::of_task(&turn.job.spec).slots());
+                let within = team.is_some_and(|t| t.guarantees(with));
+                Some((within, turn.rank, load, *name))
             })
             .max_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(b.2.total_cmp(&a.2)))
-            .map(|(.., name)| name.clone())
+            .map(|(.., name)| name)
     }
 
     /// Whether the part's grant lets the team take these slots too.
-    fn granted(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>, config: &Config) -> bool {
-        let Some(team) = config.teams.get(&spec.team) else {
+    fn granted(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>) -> bool {
+        let Some(team) = self.config.teams.get(&spec.team) else {
             return false;
         };
-        let grant = self
-            .grants
-            .teams
-            .get(&spec.team)
-            .copied()
-            .unwrap_or_default();
+        let grants = &self.ledger.grants.teams;
+        let grant = grants.get(&spec.team).copied().unwrap_or_default();
         within(
             used.get(&spec.team).copied().unwrap_or_default(),
             Room::of_task(spec).slots(),
@@ -343,19 +475,15 @@
     /// Keeps the rest of one machine free for a job that has waited long enough
     /// and fits nowhere: as tasks end there, its room grows until a task fits.
     /// Without it, smaller tasks would take each piece that comes free.
-    fn keep_room(&self, id: &JobId, sites: &mut [Site]) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return false;
-        };
+    fn keep_room(&mut self, job: &Job) -> bool {
         let need = Room::of_task(&job.spec);
-        let zones = self.by_zone(job);
+        let zones = self.ledger.by_zone(job);
         let Some(index) = job.waiting.iter().next() else {
             return false;
         };
-        let lasting = |site: &Site| {
+        let lasting = |site: &Site<'_>| {
             let mut room = site.whole;
-            let slots = self.machines.get(&site.id).map(|m| &m.slots);
-            for slot in slots.into_iter().flatten().filter(|s| s.holds_room()) {
+            for slot in site.slots.iter().filter(|s| s.holds_room()) {
                 match &slot.spec {
                     Some(spec) if spec.shape == Shape::Service => room -= Room::of_task(spec),
                     _ => {}
@@ -363,17 +491,18 @@
             }
             room
         };
-        let best = sites
+        let best = self
+            .sites
             .iter_mut()
             .filter(|s| {
                 s.allows(&job.spec)
-                    && !job.failed_on.contains(&s.id)
-                    && zone_allows(job, &zones, index, &s.zone)
+                    && !job.failed_on.contains(s.id)
+                    && zone_allows(job, &zones, index, s.zone)
                     && lasting(s).fits(&need)
             })
             .min_by(|a, b| {
-                let used = |s: &Site| s.free.used_of(&s.whole);
-                used(a).total_cmp(&used(b)).then(a.id.cmp(&b.id))
+                let used = |s: &Site<'_>| s.free.used_of(&s.whole);
+                used(a).total_cmp(&used(b)).then(a.id.cmp(b.id))
             });
         let Some(site) = best else {
             return false;
@@ -382,38 +511,42 @@
         true
     }
 
-    /// Plans as many of a job's waiting tasks as fit; whether all did.
-    fn place(
-        &mut self,
-        turn: &Turn,
-        sites: &mut [Site],
-        used: &mut BTreeMap<String, Slots>,
-        ahead: &mut u32,
-        config: &Config,
-    ) -> bool {
-        let id = &turn.id;
-        let Some(job) = self.jobs.get(id) else {
-            return true;
-        };
+    /// Sites with room for one more task of a job, and what it costs there.
+    fn candidates(&self, job: &Job, need: &Room) -> Vec<(f64, usize)> {
         let spec = &job.spec;
+        self.looks.set(self.looks.get() + self.open.len() as u64);
+        let fit = |at: &&usize| {
+            let site = &self.sites[**at];
+            site.free.fits(need) && site.allows(spec) && !job.failed_on.contains(site.id)
+        };
+        let cost = |at: &usize| (self.sites[*at].cost(spec, self.config), *at);
+        self.open.iter().filter(fit).map(cost).collect()
+    }
+
+    /// Plans as many of a job's waiting tasks as fit; whether all did.
+    fn place(&mut self, turn: &Turn<'a>) -> bool {
+        let (id, job) = (turn.id, turn.job);
+        let spec: &'a JobSpec = &job.spec;
         let need = Room::of_task(spec);
-        let mut zones = self.by_zone(job);
+        if !self.granted(spec, &self.used) {
+            // More room would not help.
+            return true;
+        }
+        let mut zones = self.ledger.by_zone(job);
         // What an earlier turn of this plan has placed.
         let mut planned: BTreeSet<u32> = BTreeSet::new();
-        for site in sites.iter().filter(|_| turn.again) {
-            for task in self.plan.get(&site.id).into_iter().flatten() {
-                if &task.job == id {
-                    planned.insert(task.index);
-                    *zones.entry(site.zone.clone()).or_insert(0) += 1;
-                }
+        for site in self.sites.iter().filter(|_| turn.again) {
+            for task in site.planned.iter().filter(|t| &t.job == id) {
+                planned.insert(task.index);
+                *zones.entry(site.zone.to_owned()).or_insert(0) += 1;
             }
         }
+        let mut candidates = self.candidates(job, &need);
         if spec.shape == Shape::Gang {
             // All or nothing: a part of a gang would only wait for the rest.
-            let room: u32 = sites
+            let room: u32 = candidates
                 .iter()
-                .filter(|s| s.allows(spec) && !job.failed_on.contains(&s.id))
-                .map(|s| s.free.times(&need))
+                .map(|(_, at)| self.sites[*at].free.times(&need))
                 .sum();
             // Its tasks share an attempt, so none starts again before all are out.
             if room < job.waiting.len() || job.broken {
@@ -423,23 +556,20 @@
         let mut all = true;
         let mut warm = None;
         let mut passed = 0;
+        // Zones where room on a machine with the image would yield, as long as
+        // nothing is taken.
+        let mut yielding: Option<BTreeSet<&str>> = None;
         let waiting = job.waiting.iter().filter(|i| !planned.contains(i));
         for index in waiting.take(turn.most as usize) {
-            if !self.granted(spec, used, config) {
-                // More room would not help.
+            if !self.granted(spec, &self.used) {
                 return true;
             }
-            let best = sites
+            let best = candidates
                 .iter()
                 .enumerate()
-                .filter(|(_, s)| {
-                    s.free.fits(&need)
-                        && s.allows(spec)
-                        && !job.failed_on.contains(&s.id)
-                        && zone_allows(job, &zones, index, &s.zone)
-                })
-                .min_by(|(_, a), (_, b)| a.cost(spec, config).total_cmp(&b.cost(spec, config)));
-            let Some((at, site)) = best else {
+                .filter(|(_, (_, at))| zone_allows(job, &zones, index, self.sites[*at].zone))
+                .min_by(|(_, a), (_, b)| a.0.total_cmp(&b.0));
+            let Some((nth, &(_, at))) = best else {
                 if job.bound.is_empty() {
                     return false;
                 }
@@ -449,61 +579,61 @@
             };
             // Room on a machine that has the image may come free sooner than
             // another fetches it.
-            let delay = site.delay(spec);
+            let delay = self.sites[at].delay(spec);
             if delay > 1.0 && spec.shape == Shape::Array {
-                let rate = *warm.get_or_insert_with(|| warm_rate(sites, spec));
-                if rate > 0.0 && f64::from(*ahead + 1) / rate < delay {
-                    *ahead += 1;
+                let rate = *warm.get_or_insert_with(|| warm_rate(&self.sites, spec));
+                if rate > 0.0 && f64::from(self.ahead + 1) / rate < delay {
+                    self.ahead += 1;
                     continue;
                 }
             }
             // So may room that yields to a higher rank.
-            if delay > YIELD_S && self.warm_room_yields(sites, job, &zones, index) {
-                all = false;
-                passed += 1;
-                // One job may have very many tasks.
-                if passed > MOST_PASSED {
-                    return false;
+            if delay > YIELD_S {
+                let yielding = yielding.get_or_insert_with(|| self.warm_room_yields(job));
+                if yielding.iter().any(|z| zone_allows(job, &zones, index, z)) {
+                    all = false;
+                    passed += 1;
+                    // One job may have very many tasks.
+                    if passed > MOST_PASSED {
+                        return false;
+                    }
+                    continue;
                 }
-                continue;
             }
-            let Some(site) = sites.get_mut(at) else {
-                break;
-            };
-            site.take(spec);
-            *zones.entry(site.zone.clone()).or_insert(0) += 1;
-            add(used.entry(spec.team.clone()).or_default(), need.slots());
-            self.plan.entry(site.id.clone()).or_default().push(TaskId {
-                job: id.clone(),
-                index,
-            });
+            let site = &mut self.sites[at];
+            site.take(id, index, spec);
+            yielding = None;
+            *zones.entry(site.zone.to_owned()).or_insert(0) += 1;
+            add_to(&mut self.used, &spec.team, need.slots());
+            if site.left > 0 && site.free.fits(&need) {
+                candidates[nth].0 = site.cost(spec, self.config);
+            } else {
+                candidates.swap_remove(nth);
+            }
+            if site.left == 0 || !site.free.fits(&self.smallest) {
+                self.open.retain(|&o| o != at);
+            }
         }
         all
     }
 
-    /// Whether a machine that has the image could make room for one more task
-    /// by stopping lower ranks.
-    fn warm_room_yields(
-        &self,
-        sites: &[Site],
-        job: &Job,
-        zones: &BTreeMap<String, u32>,
-        index: u32,
-    ) -> bool {
+    /// Zones in which a machine that has the image could make room for one more
+    /// task by stopping lower ranks.
+    fn warm_room_yields(&self, job: &Job) -> BTreeSet<&'a str> {
         let spec = &job.spec;
         let need = Room::of_task(spec);
-        sites.iter().any(|site| {
-            if site.delay(spec) > 0.0
+        let mut zones = BTreeSet::new();
+        for site in &self.sites {
+            if zones.contains(site.zone)
+                || site.delay(spec) > 0.0
                 || !site.allows(spec)
-                || job.failed_on.contains(&site.id)
-                || !zone_allows(job, zones, index, &site.zone)
+                || job.failed_on.contains(site.id)
             {
-                return false;
+                continue;
             }
             let mut room = site.free;
             room += site.coming;
-            let slots = self.machines.get(&site.id).map(|m| &m.slots);
-            for slot in slots.into_iter().flatten() {
+            for slot in site.slots {
                 if let Some(victim) = &slot.spec
                     && slot.halt.is_none()
                     && slot.holds_room()
@@ -512,108 +642,121 @@
                     room += Room::of_task(victim);
                 }
             }
-            room.fits(&need)
-        })
+            if room.fits(&need) {
+                zones.insert(site.zone);
+            }
+        }
+        zones
+    }
+
+    /// Whether anything at all may be stopped for a task.
+    fn may_stop(&self, spec: &JobSpec, beyond: &BTreeSet<&str>) -> bool {
+        self.lowest.is_some_and(|rank| rank < spec.rank) || !beyond.is_disjoint(&self.holders)
+    }
+
+    /// Teams that use more than their guarantee, other than this one: work of
+    /// theirs yields to what is within a guarantee.
+    fn beyond(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>) -> BTreeSet<&'a str> {
+        let mut mine = self.ledger.everywhere(&spec.team, used);
+        add(&mut mine, Room::of_task(spec).slots());
+        let teams = &self.config.teams;
+        if !teams.get(&spec.team).is_some_and(|t| t.guarantees(mine)) {
+            return BTreeSet::new();
+        }
+        let others = teams.iter().filter(|(name, _)| **name != spec.team);
+        others
+            .filter(|(name, t)| !t.guarantees(self.ledger.everywhere(name, used)))
+            .map(|(name, _)| name.as_str())
+            .collect()
     }
 
     /// Stops what must yield to a job that found no room, cheapest first.
     /// Room that is already coming free is counted before more is taken.
-    fn preempt(
-        &mut self,
-        id: &JobId,
-        sites: &mut [Site],
-        used: &BTreeMap<String, Slots>,
-        now: Moment,
-        config: &Config,
-    ) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        let spec = std::sync::Arc::clone(&job.spec);
-        let need = Room::of_task(&spec);
-        let planned: BTreeSet<u32> = self
-            .plan
-            .values()
-            .flatten()
-            .filter(|t| &t.job == id)
-            .map(|t| t.index)
-            .collect();
+    fn preempt(&mut self, turn: &Turn<'a>) {
+        let (id, job) = (turn.id, turn.job);
+        let spec: &'a JobSpec = &job.spec;
+        let need = Room::of_task(spec);
         // What is planned counts by zone like what runs: without it a spread
         // job's second task was once sent to the zone of its first.
-        let mut zones = self.by_zone(job);
-        for site in sites.iter() {
-            let here = self.plan.get(&site.id).into_iter().flatten();
-            let n = here.filter(|t| &t.job == id).count() as u32;
-            if n > 0 {
-                *zones.entry(site.zone.clone()).or_insert(0) += n;
+        let mut zones = self.ledger.by_zone(job);
+        let mut planned: BTreeSet<u32> = BTreeSet::new();
+        for site in &self.sites {
+            for task in site.planned.iter().filter(|t| &t.job == id) {
+                planned.insert(task.index);
+                *zones.entry(site.zone.to_owned()).or_insert(0) += 1;
             }
         }
-        let waiting: Vec<u32> = job
-            .waiting
-            .iter()
-            .filter(|i| !planned.contains(i))
-            .collect();
-        let mut used = used.clone();
-        for index in waiting {
-            let Some(job) = self.jobs.get(id) else {
-                return;
-            };
-            if !self.granted(&spec, &used, config) {
-                return;
-            }
-            let mut best: Option<(f64, usize, Vec<usize>)> = None;
-            for (at, site) in sites.iter().enumerate() {
-                if !site.allows(&spec)
-                    || job.failed_on.contains(&site.id)
-                    || !zone_allows(job, &zones, index, &site.zone)
-                    || !site.whole.fits(&need)
-                {
-                    continue;
-                }
-                let Some((loss, victims)) = self.victims(site, &spec, &need, &used, now, config)
-                else {
-                    continue;
-                };
-                let cost = loss + site.delay(&spec);
-                if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
-                    best = Some((cost, at, victims));
+        let mut used = self.used.clone();
+        let mut beyond = self.beyond(spec, &used);
+        let stops = self.may_stop(spec, &beyond);
+        let offer = |planner: &Self, at: usize, beyond: &BTreeSet<&str>| {
+            let site = &planner.sites[at];
+            planner.looks.set(planner.looks.get() + 1);
+            let fits =
+                site.allows(spec) && !job.failed_on.contains(site.id) && site.whole.fits(&need);
+            let (loss, victims) = fits
+                .then(|| planner.victims(site, spec, &need, beyond, stops))
+                .flatten()?;
+            Some((loss + site.delay(spec), at, victims))
+        };
+        let all = |planner: &Self, beyond: &BTreeSet<&str>| -> Vec<Offer> {
+            let offer = |at| offer(planner, at, beyond);
+            match stops {
+                true => (0..planner.sites.len()).filter_map(offer).collect(),
+                // Only what is free or comes free anyway.
+                false => {
+                    let mut some = planner.coming.clone();
+                    some.extend(&planner.open);
+                    some.into_iter().filter_map(offer).collect()
                 }
             }
-            let Some((_, at, victims)) = best else {
+        };
+        let mut offers = all(self, &beyond);
+        for index in job.waiting.iter().filter(|i| !planned.contains(i)) {
+            if offers.is_empty() || !self.granted(spec, &used) {
+                return;
+            }
+            let best = offers
+                .iter()
+                .enumerate()
+                .filter(|(_, (_, at, _))| zone_allows(job, &zones, index, self.sites[*at].zone))
+                .min_by(|(_, a), (_, b)| a.0.total_cmp(&b.0));
+            let Some((nth, _)) = best else {
                 if job.bound.is_empty() {
                     return;
                 }
                 continue;
             };
-            let site = &mut sites[at];
+            let (_, at, victims) = offers.swap_remove(nth);
+            let site = &mut self.sites[at];
             let whole = spec.shape != Shape::Gang;
             if victims.is_empty() && whole && site.free.fits(&need) {
-                site.take(&spec);
-                *zones.entry(site.zone.clone()).or_insert(0) += 1;
-                add(used.entry(spec.team.clone()).or_default(), need.slots());
-                self.plan.entry(site.id.clone()).or_default().push(TaskId {
-                    job: id.clone(),
-                    index,
-                });
-                continue;
-            }
-            if let Some(machine) = self.machines.get_mut(&site.id) {
+                site.take(id, index, spec);
+                add_to(&mut self.used, &spec.team, need.slots());
+            } else {
                 for v in victims {
-                    let slot = &mut machine.slots[v];
-                    if let Some(victim) = &slot.spec {
-                        slot.halt = Some(victim.save_s.0 + 1.0);
+                    if let Some(victim) = &site.slots[v].spec {
+                        site.halts.push((v, victim.save_s.0 + 1.0));
                         site.coming += Room::of_task(victim);
                     }
                 }
+                // The room now belongs to this job.
+                let mut room = site.free;
+                room += site.coming;
+                room -= need;
+                site.coming = room;
+                site.free = Room::default();
+                self.coming.insert(at);
+            }
+            *zones.entry(site.zone.to_owned()).or_insert(0) += 1;
+            add_to(&mut used, &spec.team, need.slots());
+            let now_beyond = self.beyond(spec, &used);
+            if now_beyond != beyond {
+                beyond = now_beyond;
+                offers = all(self, &beyond);
+            } else {
+                offers.extend(offer(self, at, &beyond));
             }
-            // The room now belongs to this job.
-            let mut room = site.free;
-            room += site.coming;
-            room -= need;
-            site.coming = room;
-            site.free = Room::default();
-            *zones.entry(site.zone.clone()).or_insert(0) += 1;
-            add(used.entry(spec.team.clone()).or_default(), need.slots());
         }
     }
 
@@ -621,47 +764,35 @@
     /// nothing if stopping all that may be stopped would not do.
     fn victims(
         &self,
-        site: &Site,
+        site: &Site<'_>,
         spec: &JobSpec,
         need: &Room,
-        used: &BTreeMap<String, Slots>,
-        now: Moment,
-        config: &Config,
+        beyond: &BTreeSet<&str>,
+        stops: bool,
     ) -> Option<(f64, Vec<usize>)> {
-        let machine = self.machines.get(&site.id)?;
         let mut room = site.free;
         room += site.coming;
         if room.fits(need) {
             return Some((0.0, Vec::new()));
         }
-        let mut mine = self.everywhere(&spec.team, used);
-        add(&mut mine, need.slots());
-        let within = config
-            .teams
-            .get(&spec.team)
-            .is_some_and(|t| t.guarantees(mine));
-        let mut candidates: Vec<(f64, usize)> = machine
-            .slots
-            .iter()
-            .enumerate()
-            .filter(|(_, slot)| slot.halt.is_none() && slot.holds_room())
-            .filter(|(_, slot)| {
-                slot.spec.as_ref().is_some_and(|victim| {
-                    let beyond = victim.team != spec.team
-                        && !config
-                            .teams
-                            .get(&victim.team)
-                            .is_some_and(|t| t.guarantees(self.everywhere(&victim.team, used)));
-                    victim.rank < spec.rank || (within && beyond)
-                })
-            })
-            .map(|(at, slot)| (loss(slot, now), at))
-            .collect();
+        if !stops {
+            return None;
+        }
+        let mut candidates: Vec<(f64, usize)> = Vec::new();
+        for (at, slot) in site.slots.iter().enumerate() {
+            let Some(victim) = slot.spec.as_ref().filter(|_| slot.holds_room()) else {
+                continue;
+            };
+            let yields = victim.rank < spec.rank || beyond.contains(&*victim.team);
+            if yields && slot.halt.is_none() && !site.halts.iter().any(|(h, _)| *h == at) {
+                candidates.push((loss(slot, self.now), at));
+            }
+        }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut lost = 0.0;
         let mut victims = Vec::new();
         for (loss, at) in candidates {
-            if let Some(victim) = &machine.slots[at].spec {
+            if let Some(victim) = &site.slots[at].spec {
                 room += Room::of_task(victim);
                 lost += loss;
                 victims.push(at);
@@ -674,6 +805,17 @@
     }
 }
 
+/// What a task costs at a site, and the slots to stop there for it.
+type Offer = (f64, usize, Vec<usize>);
+
+/// Adds slots to a team's.
+fn add_to(used: &mut BTreeMap<String, Slots>, team: &str, slots: Slots) {
+    match used.get_mut(team) {
+        Some(sum) => add(sum, slots),
+        None => drop(used.insert(team.to_owned(), slots)),
+    }
+}
+
 /// A task that has run this long has started in its user's eyes.
 const FRESH_S: f64 = 30.0;
 
--- a/crates/pulleywood-core/src/room.rs
+++ b/crates/pulleywood-core/src/room.rs
@@ -49,6 +49,15 @@
             && need.memory_gb <= self.memory_gb + SLACK
     }
 
+    /// The smaller of each amount.
+    pub fn least(&self, other: &Room) -> Room {
+        Room {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory_gb: self.memory_gb.min(other.memory_gb),
+        }
+    }
+
     /// The largest share of `whole` that this takes.
     pub fn share_of(&self, whole: &Room) -> f64 {
         let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -11,6 +11,7 @@
 use pulleywood_wire::record::MachineRecord;
 use pulleywood_wire::{MachineId, Moment, PartId, Rank, Term};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 const A: PartId = PartId(0);
 const B: PartId = PartId(1);
@@ -35,16 +36,18 @@
     config: Config,
     memory: Memory,
     records: BTreeMap<MachineId, MachineRecord>,
-    parts: BTreeMap<PartId, PartDigest>,
+    parts: BTreeMap<PartId, Arc<PartDigest>>,
     list: Option<Vec<Rental>>,
     hold: bool,
 }
 
 impl Fleet {
     fn new() -> Fleet {
-        let part = |part| PartDigest {
-            part,
-            ..PartDigest::default()
+        let part = |part| {
+            Arc::new(PartDigest {
+                part,
+                ..PartDigest::default()
+            })
         };
         Fleet {
             config: config(),
@@ -57,7 +60,9 @@
     }
 
     fn needs(&mut self, part: PartId, demand: Demand) {
-        self.parts.get_mut(&part).unwrap().demand.push(demand);
+        Arc::make_mut(self.parts.get_mut(&part).unwrap())
+            .demand
+            .push(demand);
     }
 
     /// A machine of four GPUs, of which tasks of `rank` hold some.
@@ -90,7 +95,9 @@
             pinned: 0.0,
             held: vec![(rank, 4.0 * held, held, 8.0 * held)],
         };
-        self.parts.get_mut(&part).unwrap().machines.push(digest);
+        Arc::make_mut(self.parts.get_mut(&part).unwrap())
+            .machines
+            .push(digest);
     }
 
     fn decide(&mut self, now: Moment) -> Vec<Action> {
@@ -289,7 +296,7 @@
         fleet.machine(A, 0, 0.0, Rank::Standard, 500.0);
         fleet.machine(B, 1, 0.0, Rank::Standard, 500.0);
         if let Some(count) = reserve {
-            let part = fleet.parts.get_mut(&A).unwrap();
+            let part = Arc::make_mut(fleet.parts.get_mut(&A).unwrap());
             part.reserve.push(demand(count, Rank::Production, false));
         }
         let actions = fleet.decide(at(0.0));
@@ -339,7 +346,7 @@
         for n in 0..40 {
             f.machine(A, n, 1.0, Rank::Standard, -1.0);
         }
-        let digests = &mut f.parts.get_mut(&A).unwrap().machines;
+        let digests = &mut Arc::make_mut(f.parts.get_mut(&A).unwrap()).machines;
         for m in digests.iter_mut().take(many) {
             m.lost_s = lost_s;
         }
@@ -362,7 +369,8 @@
     let mut f = Fleet::new();
     f.needs(A, demand(400, Rank::Standard, true));
     let service = demand(4, Rank::Production, false);
-    f.parts.get_mut(&A).unwrap().reserve.push(service);
+    let part = Arc::make_mut(f.parts.get_mut(&A).unwrap());
+    part.reserve.push(service);
     let mut rented = 0;
     for s in 0..10 {
         let now = at(f64::from(s));
--- a/crates/pulleywood-core/tests/home.rs
+++ b/crates/pulleywood-core/tests/home.rs
@@ -103,7 +103,7 @@
                 });
             }
             machines.insert(id, (record, Stamp(1)));
-            parts.insert(PartId(n as u32), digest);
+            parts.insert(PartId(n as u32), std::sync::Arc::new(digest));
         }
         let sent = BTreeMap::from([(PartId(1), sent)]);
         let mut config = config();
--- a/crates/pulleywood-core/tests/work.rs
+++ b/crates/pulleywood-core/tests/work.rs
@@ -109,3 +109,50 @@
     assert!(b.ledger.jobs.is_empty(), "the job is over");
     assert!(writes <= 12, "{writes} writes for {tasks} tasks");
 }
+
+#[test]
+fn a_plan_looks_at_machines_with_room_not_at_all_for_each_task() {
+    // Each full machine was looked at for each waiting task of each job: a
+    // plan for 350 of them took a third of a controller's processor.
+    // (machines, of which full, jobs that wait, tasks of each, most looks)
+    let cases: [(usize, usize, u64, u32, u64); 4] = [
+        (50, 50, 40, 100, 0),
+        (400, 400, 40, 100, 0),
+        (400, 390, 40, 100, 40 * 10),
+        (400, 0, 1, 100, 800),
+    ];
+    for (machines, full, jobs, tasks, most) in cases {
+        let mut b = Bench::new(&vec!["a"; machines]);
+        if full > 0 {
+            b.submit(spec(1, full as u32 * 4), false);
+        }
+        let mut on_first = vec![];
+        for m in 0..full {
+            let report = b.report(m, 1, vec![]);
+            let orders = b.turn(&report, 1.0);
+            if m == 0 {
+                on_first = launches(&orders);
+            }
+        }
+        let running = on_first.iter();
+        let on_first = running.map(|(t, a)| state(t, *a, TaskState::Running));
+        let on_first: Vec<_> = on_first.collect();
+        for n in 2..2 + jobs {
+            b.submit(spec(n, tasks), false);
+        }
+        // Heard, but nothing was planned since.
+        for m in full..machines {
+            let report = b.report(m, 1, vec![]);
+            b.ledger.report(&report, false, at(2.0), &b.config);
+        }
+        b.ledger.looks = 0;
+        b.ledger.disturb();
+        let report = b.report(0, 2, on_first);
+        b.turn(&report, 2.0);
+        let looks = b.ledger.looks;
+        assert!(
+            looks <= most,
+            "{looks} looks, {machines} machines, {full} full"
+        );
+    }
+}
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -5,6 +5,7 @@
 use crate::record::Slots;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// A request to another controller.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -59,7 +60,7 @@
     /// Parts it still answers workers for, with their terms.
     pub serving: Vec<(PartId, Term)>,
     /// What its parts hold and need.
-    pub parts: Vec<PartDigest>,
+    pub parts: Vec<Arc<PartDigest>>,
 }
 
 /// What one part holds and needs.
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -172,6 +172,22 @@
     pub images: Vec<(String, Amount)>,
 }
 
+impl MachineRecord {
+    /// All of it but the images, which are most of it.
+    pub fn bare(&self) -> MachineRecord {
+        MachineRecord {
+            part: self.part,
+            term: self.term,
+            flavor: self.flavor.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            endpoint: self.endpoint.clone(),
+            retiring: self.retiring,
+            images: Vec::new(),
+        }
+    }
+}
+
 /// Amounts of one team's slots.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Slots {
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -188,7 +188,7 @@
 fn balance(shared: &Arc<Shared>, office: &Office) {
     let now = shared.clock.now();
     let (step, stored) = {
-        let node = shared.node.lock();
+        let mut node = shared.node.lock();
         let parts = node.view.layout.map_or(0, |l| l.parts);
         if node.view.grants.len() < parts as usize || parts == 0 {
             return;
@@ -200,11 +200,11 @@
             .into_iter()
             .map(|(p, digest)| {
                 let mut teams: BTreeMap<String, Need> = BTreeMap::new();
-                for (team, used) in digest.used {
-                    teams.entry(team).or_default().used = used;
+                for (team, used) in &digest.used {
+                    teams.entry(team.clone()).or_default().used = *used;
                 }
-                for (team, wanted) in digest.wanted {
-                    teams.entry(team).or_default().wanted = wanted;
+                for (team, wanted) in &digest.wanted {
+                    teams.entry(team.clone()).or_default().wanted = *wanted;
                 }
                 (p, teams)
             })
@@ -266,32 +266,27 @@
         }
         let keep = lag * 3 + Duration::from_secs(60);
         office.released.retain(|_, at| now.since(*at) < keep);
+        let released = &office.released;
+        office.list.retain(|r| !released.contains_key(&r.machine));
     }
     let fresh = office.listed_at.is_some_and(|at| now.since(at) < every * 2);
-    let list: Option<Vec<Rental>> = fresh.then(|| {
-        office
-            .list
-            .iter()
-            .filter(|r| !office.released.contains_key(&r.machine))
-            .cloned()
-            .collect()
-    });
     let actions = {
-        let node = shared.node.lock();
+        let mut node = shared.node.lock();
         // While any part has no owner or an unknown one, its needs are not
         // known either: nothing is judged by their absence.
         let parts = node.all_parts(now);
+        let config = Arc::clone(&node.config);
         let records: BTreeMap<MachineId, MachineRecord> = node
             .view
             .machines
             .iter()
-            .map(|(id, (r, _))| (id.clone(), r.clone()))
+            .map(|(id, (r, _))| (id.clone(), r.bare()))
             .collect();
         let seen = Seen {
             now,
             records: &records,
             parts: &parts,
-            list: list.as_deref(),
+            list: fresh.then_some(&office.list[..]),
             // Users wait to submit: what lies idle is about to be needed.
             hold: shared.refusing(now)
                 || node
@@ -299,8 +294,10 @@
                     .values()
                     .any(|(d, at)| d.refusing && now.since(*at) < Duration::from_secs(4)),
         };
-        log::debug!("{}", fleet::summary(&node.config, &seen));
-        fleet::decide(&node.config, &mut office.memory, &seen)
+        drop(node);
+        let config = &*config;
+        log::debug!("{}", fleet::summary(config, &seen));
+        fleet::decide(config, &mut office.memory, &seen)
     };
     // What the cloud does takes longest to show, so it is asked first.
     let (cloud, errands): (Vec<Action>, Vec<Action>) = actions
@@ -464,6 +461,7 @@
     for id in machines {
         office.released.insert(id.clone(), now);
     }
+    office.list.retain(|r| !machines.contains(&r.machine));
     let stored: Vec<(MachineId, Stamp)> = {
         let node = shared.node.lock();
         machines
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -65,6 +65,8 @@
 
 /// Former processes remembered, so that late copies of their digests are known.
 const FORMER: usize = 64;
+/// Digests of the parts held here are good for this long.
+const OWN_DIGESTS: Duration = Duration::from_millis(300);
 const MAX_FINALS: usize = 5000;
 
 impl Finals {
@@ -172,6 +174,8 @@
     pub ended: BTreeMap<JobId, Stamp>,
     /// Processes of other controllers that were followed by newer ones.
     pub former: VecDeque<u64>,
+    /// Digests of the parts held here, and when they were made.
+    own_digests: (Moment, Vec<Arc<PartDigest>>),
     /// Jobs accepted here lately: when, for which part, how large.
     pub sent: Vec<(Moment, PartId, f64)>,
 }
@@ -192,7 +196,7 @@
     pub fn digest(&self) -> Digest {
         let now = self.clock.now();
         let state_ok = self.state.answers();
-        let node = self.node.lock();
+        let mut node = self.node.lock();
         Digest {
             member: self.me.clone(),
             boot: self.boot,
@@ -220,6 +224,7 @@
             unreached: (Moment(0), 0),
             ended: BTreeMap::new(),
             former: VecDeque::new(),
+            own_digests: Default::default(),
             sent: Vec::new(),
         }
     }
@@ -264,18 +269,24 @@
         self.unreached = (now + wait, times);
     }
 
-    /// Digests of the parts held here.
-    pub fn part_digests(&self, now: Moment) -> Vec<PartDigest> {
-        self.owned
-            .values()
-            .filter(|o| o.loaded)
-            .map(|o| o.ledger.digest(now, &self.config))
-            .collect()
+    /// Digests of the parts held here, made anew a few times a second: every
+    /// peer is told them and every submission looks at them, and each looks at
+    /// every machine of the part.
+    pub fn part_digests(&mut self, now: Moment) -> Vec<Arc<PartDigest>> {
+        let (made, digests) = &self.own_digests;
+        let held = self.owned.iter().filter(|(_, o)| o.loaded).map(|(p, _)| *p);
+        if now.since(*made) < OWN_DIGESTS && held.eq(digests.iter().map(|d| d.part)) {
+            return digests.clone();
+        }
+        let loaded = self.owned.values().filter(|o| o.loaded);
+        let made = loaded.map(|o| Arc::new(o.ledger.digest(now, &self.config)));
+        self.own_digests = (now, made.collect());
+        self.own_digests.1.clone()
     }
 
     /// All fresh digests of owned parts, this controller's included.
-    pub fn all_parts(&self, now: Moment) -> BTreeMap<PartId, PartDigest> {
-        let mut all: BTreeMap<PartId, PartDigest> = self
+    pub fn all_parts(&mut self, now: Moment) -> BTreeMap<PartId, Arc<PartDigest>> {
+        let mut all: BTreeMap<PartId, Arc<PartDigest>> = self
             .digests
             .values()
             .filter(|(_, at)| now.since(*at) < Duration::from_secs(4))
