--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -89,6 +89,8 @@
     pub batch_ops: usize,
     /// How many parts there are.
     pub parts: u32,
+    /// Most bytes of a value.
+    pub value_bytes: usize,
     /// Tasks that one record of done tasks covers.
     pub chunk: u32,
     /// Zones.
@@ -129,6 +131,7 @@
             cancel: secs(cluster.workers.cancel_s),
             batch_ops: cluster.state.txn_ops as usize,
             parts: 0,
+            value_bytes: (cluster.state.value_kb * 1024.0) as usize,
             chunk: chunk_tasks(cluster.state.value_kb),
             zones: cluster.zones.clone(),
             teams,
@@ -138,6 +141,18 @@
         }
     }
 
+    /// Machines whose records share a value: half of it is for what they are
+    /// when they are adopted, half for the images they come to have.
+    pub fn rack_machines(&self) -> usize {
+        const BYTES: usize = 220;
+        (self.value_bytes / 2 / BYTES).max(1)
+    }
+
+    /// Most bytes of such a value: what surrounds it in a message is left.
+    pub fn rack_bytes(&self) -> usize {
+        self.value_bytes - self.value_bytes / 64
+    }
+
     /// After this long without an answered report a worker has surely killed
     /// its tasks.
     pub fn surely_lapsed(&self) -> Duration {
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -1161,7 +1161,7 @@
     }
 
     /// Records of machines whose images have changed since they were written.
-    pub fn new_images(&self) -> Vec<(MachineId, MachineRecord, Stamp)> {
+    pub fn new_images(&self) -> Vec<(MachineId, MachineRecord)> {
         self.machines
             .iter()
             .filter(|(_, m)| m.confirmed && !m.leaving && !m.record.endpoint.is_empty())
@@ -1176,7 +1176,7 @@
                         .iter()
                         .map(|(n, gb)| (n.clone(), Amount(*gb)))
                         .collect();
-                    (id.clone(), record, m.stamp)
+                    (id.clone(), record)
                 })
             })
             .collect()
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -46,6 +46,7 @@
         cancel: Duration::from_secs(40),
         batch_ops: 12,
         parts: 1,
+        value_bytes: 8192,
         chunk: 1024,
         zones: vec!["a".into(), "b".into()],
         teams: BTreeMap::from([("red".to_owned(), team.clone()), ("blue".to_owned(), team)]),
--- a/crates/pulleywood-wire/src/lib.rs
+++ b/crates/pulleywood-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod job;
 pub mod pack;
 pub mod peer;
+pub mod rack;
 pub mod record;
 pub mod settings;
 pub mod state;
--- /dev/null
+++ b/crates/pulleywood-wire/src/rack.rs
@@ -0,0 +1,139 @@
+//! Racks: records of machines, several to a value.
+//!
+//! Machines come up by the hundred, and a write each would keep the last of
+//! them idle for as long as the state service takes for so many. Machines that
+//! are heard at about the same time are adopted in one transaction, and their
+//! records stay together in one value, so that what is learnt of all of them
+//! (images, an end) is one write too. Each new rack rests on the stamp of the
+//! racks' head: whoever adopts has seen all racks, and no machine is in two.
+
+use crate::ids::{MachineId, Stamp};
+use crate::record::{MachineRecord, rack_key};
+use crate::state::Commit;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Records of machines that are kept in one value.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct RackRecord {
+    /// By machine.
+    pub machines: BTreeMap<MachineId, MachineRecord>,
+}
+
+impl RackRecord {
+    /// Bytes it takes, as limits count them.
+    pub fn bytes(&self) -> usize {
+        serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
+    }
+
+    /// Forgets images, the least recently used first, until it fits.
+    pub fn fit(&mut self, limit: usize) {
+        while self.bytes() > limit {
+            let most = self.machines.values_mut().max_by_key(|m| m.images.len());
+            match most {
+                Some(machine) if !machine.images.is_empty() => drop(machine.images.remove(0)),
+                _ => return,
+            }
+        }
+    }
+}
+
+/// A rack as a transaction leaves it; none: it is gone.
+pub type Racked = (u64, Option<RackRecord>);
+
+/// What became of a rack's machines.
+#[derive(Debug, Default, PartialEq)]
+pub struct Changed {
+    /// Those it holds.
+    pub held: Vec<(MachineId, MachineRecord)>,
+    /// Those it holds no more.
+    pub gone: Vec<MachineId>,
+}
+
+/// All racks as stored.
+#[derive(Debug, Clone, Default)]
+pub struct Racks {
+    racks: BTreeMap<u64, (RackRecord, Stamp)>,
+    at: BTreeMap<MachineId, u64>,
+}
+
+impl Racks {
+    /// A rack was written, or deleted if there is no record. Nothing is changed
+    /// by what is older than what is known.
+    pub fn put(&mut self, n: u64, record: Option<RackRecord>, stamp: Stamp) -> Option<Changed> {
+        let before = match self.racks.get(&n) {
+            Some((_, known)) if *known >= stamp => return None,
+            Some((rack, _)) => rack.machines.keys().cloned().collect(),
+            None => BTreeSet::new(),
+        };
+        let record = record.unwrap_or_default();
+        let gone: Vec<MachineId> = before
+            .into_iter()
+            .filter(|id| !record.machines.contains_key(id))
+            .collect();
+        for id in &gone {
+            self.at.remove(id);
+        }
+        for id in record.machines.keys() {
+            self.at.insert(id.clone(), n);
+        }
+        let held = record.machines.iter();
+        let held = held.map(|(id, r)| (id.clone(), r.clone())).collect();
+        // An end is remembered too, until older changes can no longer come.
+        self.racks.insert(n, (record, stamp));
+        Some(Changed { held, gone })
+    }
+
+    /// All changes up to a revision have been taken: racks that ended by then
+    /// need not be remembered.
+    pub fn forget(&mut self, upto: u64) {
+        self.racks
+            .retain(|_, (rack, stamp)| !rack.machines.is_empty() || stamp.0 > upto);
+    }
+
+    /// The rack that holds a machine.
+    pub fn find(&self, id: &MachineId) -> Option<u64> {
+        self.at.get(id).copied()
+    }
+
+    /// A rack as known.
+    pub fn get(&self, n: u64) -> Option<&(RackRecord, Stamp)> {
+        self.racks.get(&n)
+    }
+
+    /// Adds to a transaction that machines' records change, or end. What their
+    /// racks are then is returned, to be put once it is applied.
+    pub fn change(
+        &self,
+        mut commit: Commit,
+        edits: &BTreeMap<MachineId, Option<MachineRecord>>,
+        limit: usize,
+    ) -> (Commit, Vec<Racked>) {
+        let touched: BTreeSet<u64> = edits.keys().filter_map(|id| self.find(id)).collect();
+        let mut after = Vec::new();
+        for n in touched {
+            let Some((rack, stamp)) = self.racks.get(&n) else {
+                continue;
+            };
+            let mut next = rack.clone();
+            next.machines
+                .retain(|id, _| !matches!(edits.get(id), Some(None)));
+            for (id, record) in &mut next.machines {
+                if let Some(Some(new)) = edits.get(id) {
+                    record.clone_from(new);
+                }
+            }
+            next.fit(limit);
+            let key = rack_key(n);
+            commit = commit.when(key.clone(), *stamp);
+            if next.machines.is_empty() {
+                commit = commit.delete(key);
+                after.push((n, None));
+            } else {
+                commit = commit.write(key, &next);
+                after.push((n, Some(next)));
+            }
+        }
+        (commit, after)
+    }
+}
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -4,7 +4,7 @@
 //! watch brings it; final states are below `over/`.
 
 use crate::cbor::Amount;
-use crate::ids::{JobId, MachineId, MemberId, PartId, Term};
+use crate::ids::{JobId, MemberId, PartId, Term};
 use crate::job::{JobSpec, JobStatus};
 use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,10 @@
 pub const PACKS: &str = "c/pack/";
 /// The head of the packs.
 pub const HEAD: &str = "c/head";
+/// The head of the racks.
+pub const RACKS: &str = "c/racks";
+/// Prefix of all racks of machines.
+pub const RACK: &str = "c/rack/";
 /// The coordinator's role.
 pub const ROLE: &str = "c/role";
 
@@ -37,9 +41,9 @@
 pub fn grant_key(p: PartId) -> String {
     format!("c/grant/{p}")
 }
-/// Key of a machine.
-pub fn machine_key(m: &MachineId) -> String {
-    format!("c/machine/{m}")
+/// Key of a rack of machines.
+pub fn rack_key(n: u64) -> String {
+    format!("{RACK}{n}")
 }
 /// Key of a live job.
 pub fn job_key(p: PartId, job: &JobId) -> String {
@@ -73,8 +77,10 @@
     Last(PartId),
     /// A part's grants.
     Grant(PartId),
-    /// A machine.
-    Machine(MachineId),
+    /// The head of the racks.
+    Racks,
+    /// A rack of machines.
+    Rack(u64),
     /// The head of the packs.
     Head,
     /// A pack of jobs.
@@ -98,7 +104,8 @@
             "part" => Key::Part(part()?),
             "last" => Key::Last(part()?),
             "grant" => Key::Grant(part()?),
-            "machine" => Key::Machine(tail.into()),
+            "racks" => Key::Racks,
+            "rack" => Key::Rack(tail.parse().ok()?),
             "job" => {
                 let mut bits = tail.splitn(3, '/');
                 let part = PartId(bits.next()?.parse().ok()?);
--- /dev/null
+++ b/crates/pulleywood/src/adopt.rs
@@ -0,0 +1,193 @@
+//! Machines that are heard for the first time: their records are written, many
+//! in one transaction, before anything is launched on them.
+
+use crate::desk::{Desk, Joined};
+use crate::follow;
+use crate::node::Shared;
+use crate::owner::newest_term;
+use pulleywood_net::Class;
+use pulleywood_wire::pack::PackHead;
+use pulleywood_wire::rack::RackRecord;
+use pulleywood_wire::record::{MachineRecord, RACKS, TERM, TermRecord, part_key, rack_key};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::worker::Report;
+use pulleywood_wire::{MachineId, PartId, Stamp, Term};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A worker waits four seconds for its answer.
+const WAIT: Duration = Duration::from_millis(2500);
+/// Those that come within this time share a transaction.
+const GATHER: Duration = Duration::from_millis(60);
+/// Tries to write one rack while other controllers write theirs.
+const TRIES: u32 = 4;
+
+/// A machine to be adopted by a part held here.
+pub struct Newcomer {
+    id: MachineId,
+    part: PartId,
+    record: MachineRecord,
+    /// The highest term its worker has seen.
+    seen: Term,
+}
+
+/// Machines that wait to be adopted.
+pub type Adoptions = Desk<Newcomer, bool>;
+
+/// Has a machine adopted by a part held here; whether its record is stored.
+pub fn join(shared: &Shared, report: &Report, part: PartId) -> bool {
+    let record = MachineRecord {
+        part,
+        term: Term(0),
+        flavor: report.flavor.clone(),
+        zone: report.zone.clone(),
+        spot: report.spot,
+        endpoint: report.endpoint.clone(),
+        retiring: false,
+        images: Vec::new(),
+    };
+    let newcomer = Newcomer {
+        id: report.machine.clone(),
+        part,
+        record,
+        seen: report.term,
+    };
+    matches!(
+        shared.adoptions.join(newcomer, WAIT, |_| true),
+        Joined::Told(true)
+    )
+}
+
+/// Adopts machines; runs for the life of the process.
+pub fn run(shared: &Arc<Shared>) {
+    loop {
+        shared.adoptions.wait();
+        std::thread::sleep(GATHER);
+        // Whoever comes until there are tokens is taken along.
+        let tokens = shared.state.take(Class::Record, 2);
+        let most = shared.node.lock().config.rack_machines();
+        let waiting = shared.adoptions.take(most);
+        match tokens {
+            Ok(()) => write_rack(shared, waiting),
+            Err(e) => {
+                log::debug!("records of {} machines: {e}", waiting.len());
+                shared.adoptions.tell(waiting.into_keys(), || false);
+            }
+        }
+    }
+}
+
+fn write_rack(shared: &Arc<Shared>, mut waiting: BTreeMap<u64, Newcomer>) {
+    for attempt in 0..TRIES {
+        let late = attempt > 0 && shared.state.take(Class::Record, 2).is_err();
+        let fresh = match late {
+            true => None,
+            // Its worker obeyed some owner before, or this is a late copy of a
+            // report of a machine that is gone. Under a fresh term only a report
+            // that answers ours shows what is on it, and no attempt repeats.
+            false => fresh_term(shared, &waiting),
+        };
+        let Some(fresh) = fresh else { break };
+        let now = shared.clock.now();
+        let (commit, n, rack) = {
+            let node = shared.node.lock();
+            let known: Vec<u64> = waiting
+                .iter()
+                .filter(|(_, w)| node.view.machines.contains_key(&w.id))
+                .map(|(ticket, _)| *ticket)
+                .collect();
+            shared.adoptions.tell(known.iter().copied(), || true);
+            for ticket in &known {
+                waiting.remove(ticket);
+            }
+            let (last, head) = node.view.rack_head;
+            let next = PackHead {
+                last: last.last + 1,
+            };
+            let mut commit = Commit::default().when(RACKS, head).write(RACKS, &next);
+            let mut rack = RackRecord::default();
+            let mut parts: BTreeSet<PartId> = BTreeSet::new();
+            for newcomer in waiting.values() {
+                let owned = node.owned.get(&newcomer.part);
+                let Some(owned) = owned.filter(|o| o.loaded && !o.leaving && node.may_act(now))
+                else {
+                    continue;
+                };
+                let mut record = newcomer.record.clone();
+                record.term = match newcomer.seen < owned.ledger.term {
+                    true => owned.ledger.term,
+                    false if fresh.0 > newcomer.seen => fresh.0,
+                    // The part changed hands since.
+                    false => continue,
+                };
+                rack.machines.insert(newcomer.id.clone(), record);
+                if parts.insert(newcomer.part) {
+                    commit = commit.when(part_key(newcomer.part), owned.stamp);
+                }
+            }
+            if rack.machines.is_empty() {
+                break;
+            }
+            if fresh.0 > Term(0) {
+                let record = TermRecord { last: fresh.0 };
+                commit = commit.when(TERM, fresh.1).write(TERM, &record);
+            }
+            let key = rack_key(next.last);
+            commit = commit.when(key.clone(), Stamp(0)).write(key, &rack);
+            (commit, next, rack)
+        };
+        match shared.state.commit_paid(&commit) {
+            Ok(Ok(stamp)) => {
+                let now = shared.clock.now();
+                log::info!("rack {}: adopted {}", n.last, names(&rack));
+                let mut node = shared.node.lock();
+                node.view.rack_head = (n, stamp);
+                let ids: BTreeSet<MachineId> = rack.machines.keys().cloned().collect();
+                node.put_rack(n.last, Some(rack), stamp, now);
+                drop(node);
+                let (taken, left): (Vec<_>, Vec<_>) =
+                    waiting.into_iter().partition(|(_, w)| ids.contains(&w.id));
+                let tickets = |of: Vec<(u64, Newcomer)>| of.into_iter().map(|(t, _)| t);
+                shared.adoptions.tell(tickets(taken), || true);
+                shared.adoptions.tell(tickets(left), || false);
+                return;
+            }
+            // Another rack was written meanwhile, or a part changed hands.
+            Ok(Err(failed)) => {
+                log::debug!("rack {}: {failed:?} changed", n.last);
+                if let Err(e) = follow::changes(shared, Class::Record, Duration::ZERO) {
+                    log::debug!("reading the racks: {e}");
+                }
+            }
+            Err(e) => {
+                log::debug!("rack {}: {e}", n.last);
+                break;
+            }
+        }
+    }
+    shared.adoptions.tell(waiting.into_keys(), || false);
+}
+
+/// A new term for machines that have seen their part's, and the counter's
+/// stamp; the first one if there is none such, nothing if it cannot be read.
+fn fresh_term(shared: &Shared, waiting: &BTreeMap<u64, Newcomer>) -> Option<(Term, Stamp)> {
+    let seen = {
+        let node = shared.node.lock();
+        let ahead = |w: &&Newcomer| {
+            let owned = node.owned.get(&w.part);
+            owned.is_some_and(|o| w.seen >= o.ledger.term)
+        };
+        waiting.values().filter(ahead).map(|w| w.seen).max()
+    };
+    let Some(seen) = seen else {
+        return Some(Default::default());
+    };
+    let (last, stamp) = newest_term(shared).ok()?;
+    Some((Term(last.0.max(seen.0) + 1), stamp))
+}
+
+fn names(rack: &RackRecord) -> String {
+    let names: Vec<String> = rack.machines.keys().map(ToString::to_string).collect();
+    names.join(" ")
+}
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -4,7 +4,7 @@
 use crate::follow::Reads;
 use crate::intake::{self, Intake};
 use crate::node::{Finals, Node, Shared};
-use crate::{coordinator, follow, owner, peers, users, workers};
+use crate::{adopt, coordinator, follow, owner, peers, users, workers};
 use parking_lot::{Condvar, Mutex};
 use pulleywood_core::Config;
 use pulleywood_core::config::Policy;
@@ -93,6 +93,7 @@
             node: Mutex::new(Node::new(config)),
             bell: Condvar::new(),
             intake: Intake::default(),
+            adoptions: Default::default(),
             reads: Reads::default(),
             digests_sent: AtomicU64::new(0),
             refused: AtomicU64::new(0),
@@ -114,11 +115,12 @@
         let serve_on = address(&shared.settings.serve_on)?;
         let serve_on =
             server::serve(serve_on, most, Front(Arc::clone(&shared))).map_err(io("serve_on"))?;
-        let threads: [(&str, Body); 8] = [
+        let threads: [(&str, Body); 9] = [
             ("follow", follow::run),
             ("read", follow::read_for_users),
             ("borrow", peers::borrow),
             ("intake", intake::run),
+            ("adopt", adopt::run),
             ("renew", owner::renew),
             ("parts", owner::hold_parts),
             ("flush", owner::flush),
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -1,5 +1,6 @@
 //! The coordinator's role: grants over parts, and the fleet.
 
+use crate::follow;
 use crate::node::Shared;
 use crate::owner::newest_term;
 use pulleywood_core::Config;
@@ -11,12 +12,12 @@
 use pulleywood_wire::cloud::{Hire, Rental};
 use pulleywood_wire::peer::Ask;
 use pulleywood_wire::record::{
-    Holder, MachineRecord, ROLE, Slots, TERM, TermRecord, grant_key, machine_key, part_key,
+    Holder, MachineRecord, ROLE, Slots, TERM, TermRecord, grant_key, part_key,
 };
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::time::secs;
 use pulleywood_wire::{MachineId, Moment, PartId, Stamp, Term};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -462,30 +463,56 @@
         office.released.insert(id.clone(), now);
     }
     office.list.retain(|r| !machines.contains(&r.machine));
-    let stored: Vec<(MachineId, Stamp)> = {
-        let node = shared.node.lock();
-        machines
-            .iter()
-            .filter_map(|id| Some((id.clone(), node.view.machines.get(id)?.1)))
-            .collect()
-    };
-    let ops = shared.node.lock().config.batch_ops;
-    for batch in stored.chunks(ops) {
-        let mut commit = Commit::default().when(ROLE, office.stamp);
-        for (id, stamp) in batch {
-            commit = commit.when(machine_key(id), *stamp).delete(machine_key(id));
+    for _ in 0..TRIES {
+        if !forget_machines(shared, office.stamp, machines) {
+            return;
         }
-        match shared.state.commit(Class::Owner, &commit) {
-            Ok(Outcome::Applied(_)) => {
-                let mut node = shared.node.lock();
-                for (id, _) in batch {
-                    node.view.machines.remove(id);
-                    for owned in node.owned.values_mut() {
-                        owned.ledger.drop_machine(id);
-                    }
+    }
+}
+
+/// Tries to end the records of some machines while their owners write what
+/// they learn of others in the same racks.
+const TRIES: u32 = 3;
+
+/// Ends records of machines that are gone; whether it is to be tried again.
+fn forget_machines(shared: &Arc<Shared>, role: Stamp, machines: &[MachineId]) -> bool {
+    let mut left: Vec<MachineId> = machines.to_vec();
+    while !left.is_empty() {
+        let (commit, racks) = {
+            let node = shared.node.lock();
+            let known = &node.view.racks;
+            let mut touched = BTreeSet::new();
+            let mut edits = BTreeMap::new();
+            left.retain(|id| {
+                let Some(n) = known.find(id) else {
+                    return false;
+                };
+                if touched.len() >= node.config.batch_ops && !touched.contains(&n) {
+                    return true;
                 }
+                touched.insert(n);
+                edits.insert(id.clone(), None);
+                false
+            });
+            let commit = Commit::default().when(ROLE, role);
+            known.change(commit, &edits, node.config.rack_bytes())
+        };
+        if racks.is_empty() {
+            return false;
+        }
+        match shared.state.commit(Class::Owner, &commit) {
+            Ok(Outcome::Applied(stamp)) => {
+                let now = shared.clock.now();
+                shared.node.lock().put_racks(racks, stamp, now);
+            }
+            Ok(Outcome::Conflict) => {
+                return follow::changes(shared, Class::Owner, Duration::ZERO).is_ok();
+            }
+            Err(e) => {
+                log::debug!("deleting machines: {e}");
+                return false;
             }
-            other => log::debug!("deleting machines: {other:?}"),
         }
     }
+    false
 }
--- /dev/null
+++ b/crates/pulleywood/src/desk.rs
@@ -0,0 +1,119 @@
+//! A desk at which threads leave what one transaction can carry out for many
+//! of them, and wait for what became of it.
+
+use parking_lot::{Condvar, Mutex};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Verdicts kept for threads that no longer wait.
+const KEPT: u64 = 1000;
+
+/// Things of type `T` that wait for verdicts of type `V`.
+pub struct Desk<T, V> {
+    state: Mutex<State<T, V>>,
+    wake: Condvar,
+    told: Condvar,
+}
+
+struct State<T, V> {
+    next: u64,
+    waiting: BTreeMap<u64, T>,
+    verdicts: BTreeMap<u64, V>,
+}
+
+/// How waiting ended.
+pub enum Joined<V> {
+    /// With a verdict.
+    Told(V),
+    /// There was no room.
+    Full,
+    /// Nobody took it in time, and nobody will.
+    Left,
+    /// It was taken, and its verdict is yet to come.
+    Late,
+}
+
+impl<T, V> Default for Desk<T, V> {
+    fn default() -> Self {
+        Self {
+            state: Mutex::new(State {
+                next: 0,
+                waiting: BTreeMap::new(),
+                verdicts: BTreeMap::new(),
+            }),
+            wake: Condvar::new(),
+            told: Condvar::new(),
+        }
+    }
+}
+
+impl<T, V> Desk<T, V> {
+    /// Nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.state.lock().waiting.is_empty()
+    }
+
+    /// Leaves a thing, if it may join those that wait, and waits.
+    pub fn join(
+        &self,
+        thing: T,
+        wait: Duration,
+        may: impl FnOnce(&BTreeMap<u64, T>) -> bool,
+    ) -> Joined<V> {
+        let end = Instant::now() + wait;
+        let mut state = self.state.lock();
+        if !may(&state.waiting) {
+            return Joined::Full;
+        }
+        state.next += 1;
+        let ticket = state.next;
+        state.waiting.insert(ticket, thing);
+        self.wake.notify_one();
+        loop {
+            if let Some(verdict) = state.verdicts.remove(&ticket) {
+                return Joined::Told(verdict);
+            }
+            if self.told.wait_until(&mut state, end).timed_out() {
+                return match (
+                    state.verdicts.remove(&ticket),
+                    state.waiting.remove(&ticket),
+                ) {
+                    (Some(verdict), _) => Joined::Told(verdict),
+                    (None, Some(_)) => Joined::Left,
+                    (None, None) => Joined::Late,
+                };
+            }
+        }
+    }
+
+    /// Waits until something waits.
+    pub fn wait(&self) {
+        let mut state = self.state.lock();
+        while state.waiting.is_empty() {
+            self.wake.wait(&mut state);
+        }
+    }
+
+    /// Takes the first that wait, as many as `most`.
+    pub fn take(&self, most: usize) -> BTreeMap<u64, T> {
+        let mut state = self.state.lock();
+        let rest = match state.waiting.keys().nth(most).copied() {
+            Some(first) => state.waiting.split_off(&first),
+            None => BTreeMap::new(),
+        };
+        std::mem::replace(&mut state.waiting, rest)
+    }
+
+    /// Tells some what became of their things.
+    pub fn tell(&self, tickets: impl IntoIterator<Item = u64>, verdict: impl Fn() -> V) {
+        let mut state = self.state.lock();
+        for ticket in tickets {
+            state.verdicts.insert(ticket, verdict());
+        }
+        // Those that no longer wait.
+        let oldest = state.next.saturating_sub(KEPT);
+        state.verdicts = state.verdicts.split_off(&oldest);
+        drop(state);
+        self.told.notify_all();
+    }
+}
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -5,9 +5,10 @@
 use parking_lot::{Condvar, Mutex};
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::pack::PackRecord;
-use pulleywood_wire::record::{LIVE, PACKS, job_key, machine_key};
+use pulleywood_wire::rack::RackRecord;
+use pulleywood_wire::record::{LIVE, PACKS, RACK, job_key};
 use pulleywood_wire::state::{Event, Item};
-use pulleywood_wire::{JobId, PartId};
+use pulleywood_wire::{JobId, MachineId, PartId};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -177,11 +178,25 @@
     let gone: BTreeSet<String> = held
         .flat_map(|o| {
             let jobs = o.ledger.jobs.keys().filter(|id| !packed.contains(id));
-            let keys = jobs.map(|id| job_key(id.part(parts), id));
-            keys.chain(o.ledger.machines.keys().map(machine_key))
+            jobs.map(|id| job_key(id.part(parts), id))
         })
         .filter(|path| !listed.contains(path.as_str()))
         .collect();
+    let racked: BTreeSet<MachineId> = items
+        .iter()
+        .filter(|i| i.path.starts_with(RACK))
+        .filter_map(|i| read::<RackRecord>(Some(&i.value), &i.path))
+        .flat_map(|rack| rack.machines.into_keys())
+        .collect();
+    for owned in node.owned.values_mut() {
+        // What was adopted since the list was read is not in it.
+        let machines = owned.ledger.machines.iter();
+        let lost = machines.filter(|(id, m)| m.stamp.0 <= ledger && !racked.contains(*id));
+        let lost: Vec<MachineId> = lost.map(|(id, _)| id.clone()).collect();
+        for id in lost {
+            owned.ledger.drop_machine(&id);
+        }
+    }
     for path in gone {
         let event = Event {
             write: None,
--- a/crates/pulleywood/src/intake.rs
+++ b/crates/pulleywood/src/intake.rs
@@ -1,9 +1,9 @@
 //! Submissions that are accepted together, when there are more of them than
 //! tokens for writes.
 
+use crate::desk::{Desk, Joined};
 use crate::follow;
 use crate::node::Shared;
-use parking_lot::{Condvar, Mutex};
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::Stamp;
 use pulleywood_wire::pack::{PackHead, PackRecord};
@@ -11,7 +11,7 @@
 use pulleywood_wire::state::Commit;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A submission waits this long for the transaction that it shares.
 const WAIT: Duration = Duration::from_millis(2500);
@@ -21,21 +21,10 @@
 const FRAME: usize = 64;
 
 /// Submissions that wait.
-#[derive(Default)]
-pub struct Intake {
-    desk: Mutex<Desk>,
-    wake: Condvar,
-    told: Condvar,
-}
-
-#[derive(Default)]
-struct Desk {
-    next: u64,
-    waiting: BTreeMap<u64, Waiting>,
-    verdicts: BTreeMap<u64, Verdict>,
-}
+pub type Intake = Desk<Waiting, Verdict>;
 
-struct Waiting {
+/// One of them.
+pub struct Waiting {
     record: JobRecord,
     bytes: usize,
 }
@@ -68,53 +57,20 @@
     }
 }
 
-impl Intake {
-    /// Nobody waits.
-    pub fn is_empty(&self) -> bool {
-        self.desk.lock().waiting.is_empty()
-    }
-
-    /// Has a submission accepted with others. What does not fit into the next
-    /// pack is refused at once.
-    pub fn join(&self, shared: &Shared, record: JobRecord, refused: StateError) -> Verdict {
-        let limits = Limits::new(shared);
-        let bytes = serde_json::to_vec(&record).map_or(usize::MAX, |json| json.len() + 1);
-        let end = Instant::now() + WAIT;
-        let mut desk = self.desk.lock();
-        let taken: usize = desk.waiting.values().map(|w| w.bytes).sum();
-        let full = desk.waiting.len() >= limits.jobs || taken.saturating_add(bytes) > limits.bytes;
-        if full {
-            return Verdict::Refused(refused);
-        }
-        desk.next += 1;
-        let ticket = desk.next;
-        desk.waiting.insert(ticket, Waiting { record, bytes });
-        self.wake.notify_one();
-        loop {
-            if let Some(verdict) = desk.verdicts.remove(&ticket) {
-                return verdict;
-            }
-            if self.told.wait_until(&mut desk, end).timed_out() {
-                desk.verdicts.remove(&ticket);
-                return match desk.waiting.remove(&ticket) {
-                    Some(_) => Verdict::Refused(refused),
-                    // Its transaction is under way; the user's retry will tell.
-                    None => Verdict::Refused(StateError::Unknown("no answer yet".into())),
-                };
-            }
-        }
-    }
-
-    fn tell(&self, tickets: impl IntoIterator<Item = u64>, verdict: impl Fn() -> Verdict) {
-        let mut desk = self.desk.lock();
-        for ticket in tickets {
-            desk.verdicts.insert(ticket, verdict());
-        }
-        // Those whose user no longer waits.
-        let oldest = desk.next.saturating_sub(1000);
-        desk.verdicts = desk.verdicts.split_off(&oldest);
-        drop(desk);
-        self.told.notify_all();
+/// Has a submission accepted with others. What does not fit into the next pack
+/// is refused at once.
+pub fn join(shared: &Shared, record: JobRecord, refused: StateError) -> Verdict {
+    let limits = Limits::new(shared);
+    let bytes = serde_json::to_vec(&record).map_or(usize::MAX, |json| json.len() + 1);
+    let fits = |waiting: &BTreeMap<u64, Waiting>| {
+        let taken: usize = waiting.values().map(|w| w.bytes).sum();
+        waiting.len() < limits.jobs && taken.saturating_add(bytes) <= limits.bytes
+    };
+    match shared.intake.join(Waiting { record, bytes }, WAIT, fits) {
+        Joined::Told(verdict) => verdict,
+        Joined::Full | Joined::Left => Verdict::Refused(refused),
+        // Its transaction is under way; the user's retry will tell.
+        Joined::Late => Verdict::Refused(StateError::Unknown("no answer yet".into())),
     }
 }
 
@@ -122,15 +78,10 @@
 pub fn run(shared: &Arc<Shared>) {
     let intake = &shared.intake;
     loop {
-        {
-            let mut desk = intake.desk.lock();
-            while desk.waiting.is_empty() {
-                intake.wake.wait(&mut desk);
-            }
-        }
+        intake.wait();
         // Whoever comes until there are tokens is taken along.
         let tokens = shared.state.take(Class::Pack, 2);
-        let waiting = std::mem::take(&mut intake.desk.lock().waiting);
+        let waiting = intake.take(usize::MAX);
         match tokens {
             Ok(()) => write_pack(shared, waiting),
             Err(e) => {
--- a/crates/pulleywood/src/lib.rs
+++ b/crates/pulleywood/src/lib.rs
@@ -4,9 +4,11 @@
 //! of the state service. [`Controller::start`] assembles one; the binary of
 //! the same name runs it as a daemon.
 
+mod adopt;
 mod clock;
 mod controller;
 mod coordinator;
+mod desk;
 mod follow;
 mod intake;
 mod node;
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -1,5 +1,6 @@
 //! What one controller knows, behind one short lock.
 
+use crate::adopt::Adoptions;
 use crate::clock::Clock;
 use crate::follow::Reads;
 use crate::intake::Intake;
@@ -9,6 +10,7 @@
 use pulleywood_net::{CloudClient, StateClient};
 use pulleywood_wire::pack::{PackHead, PackRecord, Packs};
 use pulleywood_wire::peer::{Digest, PartDigest};
+use pulleywood_wire::rack::{RackRecord, Racked, Racks};
 use pulleywood_wire::record::{
     ChunkRecord, GrantRecord, Holder, JobRecord, Key, Layout, MachineRecord, OverRecord, TaskSet,
     TermRecord,
@@ -46,6 +48,8 @@
     pub bell: Condvar,
     /// Submissions that wait to be accepted together.
     pub intake: Intake,
+    /// Machines that wait to be adopted together.
+    pub adoptions: Adoptions,
     /// Users' questions that wait for a read.
     pub reads: Reads,
     /// Numbers digests.
@@ -120,6 +124,10 @@
     pub jobs: BTreeMap<JobId, u32>,
     /// Packs of jobs.
     pub packs: Packs,
+    /// Racks of machines.
+    pub racks: Racks,
+    /// Number of the newest rack, and the stamp of the racks' head.
+    pub rack_head: (PackHead, Stamp),
     /// Number of the newest pack, and the stamp of the packs' head.
     pub head: (PackHead, Stamp),
     /// Jobs that left their packs by changes not yet all taken: they have a
@@ -409,12 +417,14 @@
                     self.put_grant(p, record, stamp);
                 }
             }
-            Key::Machine(id) => match read::<MachineRecord>(value, &path) {
-                Some(record) => self.put_machine(&id, record, stamp, now),
-                None => {
-                    self.view.machines.remove(&id);
-                    for owned in self.owned.values_mut() {
-                        owned.ledger.drop_machine(&id);
+            // This controller may know of a newer one, by its own rack.
+            Key::Racks if stamp <= self.view.rack_head.1 => {}
+            Key::Racks => self.view.rack_head = (read(value, &path).unwrap_or_default(), stamp),
+            Key::Rack(n) => match value {
+                None => self.put_rack(n, None, stamp, now),
+                Some(_) => {
+                    if let Some(record) = read(value, &path) {
+                        self.put_rack(n, Some(record), stamp, now);
                     }
                 }
             },
@@ -536,6 +546,7 @@
         self.view.ledger = self.view.ledger.max(ledger);
         let upto = self.view.ledger;
         self.view.packs.forget(upto);
+        self.view.racks.forget(upto);
         self.ended.retain(|_, at| at.0 > upto);
     }
 
@@ -551,14 +562,31 @@
         self.view.grants.insert(p, (record, stamp));
     }
 
+    /// A rack as stored, or its end.
+    pub fn put_rack(&mut self, n: u64, record: Option<RackRecord>, stamp: Stamp, now: Moment) {
+        let Some(changed) = self.view.racks.put(n, record, stamp) else {
+            return;
+        };
+        for (id, record) in changed.held {
+            self.put_machine(&id, record, stamp, now);
+        }
+        for id in changed.gone {
+            self.view.machines.remove(&id);
+            for owned in self.owned.values_mut() {
+                owned.ledger.drop_machine(&id);
+            }
+        }
+    }
+
+    /// A transaction of this controller changed racks.
+    pub fn put_racks(&mut self, racks: Vec<Racked>, stamp: Stamp, now: Moment) {
+        for (n, record) in racks {
+            self.put_rack(n, record, stamp, now);
+        }
+    }
+
     /// A machine's record as stored.
-    pub fn put_machine(
-        &mut self,
-        id: &MachineId,
-        record: MachineRecord,
-        stamp: Stamp,
-        now: Moment,
-    ) {
+    fn put_machine(&mut self, id: &MachineId, record: MachineRecord, stamp: Stamp, now: Moment) {
         if self.view.machines.get(id).is_some_and(|(_, s)| *s >= stamp) {
             return;
         }
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -9,9 +9,10 @@
 use pulleywood_net::{Class, StateError, cloud};
 use pulleywood_wire::pack::PackRecord;
 use pulleywood_wire::peer::Demand;
+use pulleywood_wire::rack::RackRecord;
 use pulleywood_wire::record::{
-    Holder, JOBS, Key, LAYOUT, LastHolder, Layout, PACKS, TERM, TermRecord, grant_key, job_key,
-    last_key, machine_key, part_key,
+    Holder, JOBS, Key, LAYOUT, LastHolder, Layout, MachineRecord, PACKS, RACK, TERM, TermRecord,
+    grant_key, job_key, last_key, part_key, rack_key,
 };
 use pulleywood_wire::state::{Commit, Item};
 use pulleywood_wire::worker::Direct;
@@ -427,9 +428,9 @@
     let read_all = || {
         let packs = shared.state.list(Class::Owner, PACKS)?;
         let jobs = shared.state.list(Class::Owner, JOBS)?;
-        Ok((packs, jobs, shared.state.list(Class::Owner, "c/machine/")?))
+        Ok((packs, jobs, shared.state.list(Class::Owner, RACK)?))
     };
-    let (packs, jobs, machines) = loop {
+    let (packs, jobs, racks) = loop {
         match read_all() {
             Ok(all) => break all,
             Err(StateError::TooOld) => return Ok(()),
@@ -452,24 +453,26 @@
         let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) else {
             return Ok(());
         };
-        for item in &machines.0 {
-            let Some(Key::Machine(id)) = Key::parse(&item.path) else {
+        for item in &racks.0 {
+            let (Some(Key::Rack(n)), Some(rack)) = (
+                Key::parse(&item.path),
+                read::<RackRecord>(Some(&item.value), &item.path),
+            ) else {
                 continue;
             };
-            let Some(record) =
-                read::<pulleywood_wire::record::MachineRecord>(Some(&item.value), &item.path)
-            else {
-                continue;
+            // The watch may have brought a newer one while this was read.
+            let (rack, stamp) = match node.view.racks.get(n) {
+                Some((newer, stamp)) if *stamp > item.stamp => (newer.clone(), *stamp),
+                _ => (rack, item.stamp),
             };
-            if record.part != part {
-                continue;
-            }
-            if !record.endpoint.is_empty() {
-                to_greet.push((id.clone(), record.endpoint.clone()));
+            for (id, record) in rack.machines.into_iter().filter(|(_, r)| r.part == part) {
+                if !record.endpoint.is_empty() {
+                    to_greet.push((id.clone(), record.endpoint.clone()));
+                }
+                // Also replaces what an event may have brought as not inherited.
+                owned.ledger.machines.remove(&id);
+                owned.ledger.put_machine(&id, record, stamp, true, now);
             }
-            // Also replaces what an event may have brought as not inherited.
-            owned.ledger.machines.remove(&id);
-            owned.ledger.put_machine(&id, record, item.stamp, true, now);
         }
         for item in &packs.0 {
             let pack: PackRecord = read(Some(&item.value), &item.path).unwrap_or_default();
@@ -732,31 +735,32 @@
 fn write_images(shared: &Arc<Shared>) {
     let batches: Vec<_> = {
         let node = shared.node.lock();
-        let ops = node.config.batch_ops;
-        node.owned
-            .iter()
-            .filter(|(_, o)| o.loaded && !o.leaving)
-            .flat_map(|(part, o)| {
-                let mut changed = o.ledger.new_images();
-                changed.truncate(ops / 2 + 1);
-                (!changed.is_empty()).then_some((*part, o.stamp, changed))
+        let (ops, bytes) = (node.config.batch_ops, node.config.rack_bytes());
+        let held = node.owned.iter();
+        held.filter(|(_, o)| o.loaded && !o.leaving)
+            .filter_map(|(part, o)| {
+                let mut edits = BTreeMap::new();
+                let mut touched = BTreeSet::new();
+                for (id, record) in o.ledger.new_images() {
+                    let Some(n) = node.view.racks.find(&id) else {
+                        continue;
+                    };
+                    if touched.len() <= ops / 2 || touched.contains(&n) {
+                        touched.insert(n);
+                        edits.insert(id, Some(record));
+                    }
+                }
+                let commit = Commit::default().when(part_key(*part), o.stamp);
+                let (commit, racks) = node.view.racks.change(commit, &edits, bytes);
+                (!racks.is_empty()).then_some((*part, commit, racks))
             })
             .collect()
     };
-    for (part, part_stamp, machines) in batches {
-        let mut commit = Commit::default().when(part_key(part), part_stamp);
-        for (id, record, stamp) in &machines {
-            commit = commit
-                .when(machine_key(id), *stamp)
-                .write(machine_key(id), record);
-        }
+    for (part, commit, racks) in batches {
         match shared.state.commit(Class::House, &commit) {
             Ok(Outcome::Applied(stamp)) => {
                 let now = shared.clock.now();
-                let mut node = shared.node.lock();
-                for (id, record, _) in machines {
-                    node.put_machine(&id, record, stamp, now);
-                }
+                shared.node.lock().put_racks(racks, stamp, now);
             }
             // The watch brings what is stored; the next round tries again.
             other => log::debug!("images of part {part}: {other:?}"),
@@ -945,40 +949,44 @@
         if !node.may_act(now) {
             return false;
         }
+        let node = &mut *node;
+        let bytes = node.config.rack_bytes();
+        let racks = &node.view.racks;
         node.owned.iter_mut().find_map(|(part, owned)| {
             if !owned.loaded || owned.leaving || !owned.ledger.may_leave(id) {
                 return None;
             }
             let machine = owned.ledger.machines.get_mut(id)?;
             machine.leaving = true;
+            let mut next = machine.record.clone();
             owned.ledger.disturb();
-            let machine = owned.ledger.machines.get(id)?;
-            Some((*part, owned.stamp, machine.record.clone(), machine.stamp))
+            let mut commit = Commit::default().when(part_key(*part), owned.stamp);
+            match to {
+                Some(to) => {
+                    next.part = to;
+                    next.term = Term(term.0 + 1);
+                    let record = TermRecord { last: next.term };
+                    commit = commit.when(TERM, term_stamp).write(TERM, &record);
+                }
+                None => next.retiring = true,
+            }
+            let edits = BTreeMap::from([(id.clone(), Some(next))]);
+            let (commit, after) = racks.change(commit, &edits, bytes);
+            Some((*part, owned.stamp, commit, after))
         })
     };
-    let Some((part, part_stamp, record, stamp)) = prepared else {
+    let Some((part, part_stamp, commit, after)) = prepared else {
         return false;
     };
-    let mut next = record.clone();
-    let mut commit = Commit::default()
-        .when(machine_key(id), stamp)
-        .when(part_key(part), part_stamp);
-    match to {
-        Some(to) => {
-            next.part = to;
-            next.term = Term(term.0 + 1);
-            commit = commit
-                .when(TERM, term_stamp)
-                .write(TERM, &TermRecord { last: next.term });
-        }
-        None => next.retiring = true,
+    if after.is_empty() {
+        stay(shared, part, id);
+        return false;
     }
-    commit = commit.write(machine_key(id), &next);
     let outcome = shared.state.commit(Class::House, &commit);
     let now = shared.clock.now();
     match outcome {
         Ok(Outcome::Applied(stamp)) => {
-            shared.node.lock().put_machine(id, next, stamp, now);
+            shared.node.lock().put_racks(after, stamp, now);
             log::info!("part {part} let {id} go: {to:?}");
             true
         }
@@ -1006,12 +1014,15 @@
     }
 }
 
-/// Rewrites a machine's record as it is, so that an older transaction that
-/// was never answered can no longer be applied.
+/// Rewrites a machine's rack as it is, so that an older transaction that was
+/// never answered can no longer be applied.
 fn fence_machine(shared: &Arc<Shared>, part: PartId, part_stamp: Stamp, id: &MachineId) {
     for _ in 0..10 {
         std::thread::sleep(Duration::from_millis(500));
-        let key = machine_key(id);
+        let Some(n) = shared.node.lock().view.racks.find(id) else {
+            return;
+        };
+        let key = rack_key(n);
         let Ok(item) = shared.state.get(Class::Owner, &key) else {
             continue;
         };
@@ -1019,20 +1030,23 @@
         let Some(item) = item else {
             return;
         };
-        let Some(record) = read::<pulleywood_wire::record::MachineRecord>(Some(&item.value), &key)
-        else {
+        let Some(rack) = read::<RackRecord>(Some(&item.value), &key) else {
             return;
         };
-        if record.part != part || record.retiring {
-            shared.node.lock().put_machine(id, record, item.stamp, now);
+        let ours = |r: &MachineRecord| r.part == part && !r.retiring;
+        if !rack.machines.get(id).is_some_and(ours) {
+            let mut node = shared.node.lock();
+            node.put_rack(n, Some(rack), item.stamp, now);
             return;
         }
         let commit = Commit::default()
             .when(key.clone(), item.stamp)
             .when(part_key(part), part_stamp)
-            .write(key, &record);
+            .write(key, &rack);
         if let Ok(Outcome::Applied(stamp)) = shared.state.commit(Class::Owner, &commit) {
-            shared.node.lock().put_machine(id, record, stamp, now);
+            let mut node = shared.node.lock();
+            node.put_rack(n, Some(rack), stamp, now);
+            drop(node);
             stay(shared, part, id);
             return;
         }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -4,7 +4,7 @@
 //! request; only final states are remembered.
 
 use crate::clock::time_of_day_ms;
-use crate::intake::Verdict;
+use crate::intake::{self, Verdict};
 use crate::node::{Shared, read};
 use pulleywood_core::Config;
 use pulleywood_core::room::Room;
@@ -167,7 +167,7 @@
     let now = shared.clock.now();
     let record = shared.node.lock().new_job(spec, time_of_day_ms(), now);
     let verdict = match accept(shared, part, &record) {
-        Verdict::Refused(e @ StateError::Budget(_)) => shared.intake.join(shared, record, e),
+        Verdict::Refused(e @ StateError::Budget(_)) => intake::join(shared, record, e),
         verdict => verdict,
     };
     match verdict {
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -1,15 +1,11 @@
 //! Workers' reports.
 
+use crate::adopt;
 use crate::node::{Node, Shared};
-use crate::owner::newest_term;
 use pulleywood_core::ledger::Taken;
-use pulleywood_net::Class;
 use pulleywood_net::server::Response;
-use pulleywood_net::state::Outcome;
-use pulleywood_wire::record::{MachineRecord, TERM, TermRecord, machine_key, part_key};
-use pulleywood_wire::state::Commit;
 use pulleywood_wire::worker::{Redirect, Report, ReportAnswer};
-use pulleywood_wire::{MemberId, PartId, Stamp, Term, cbor};
+use pulleywood_wire::{MemberId, PartId, cbor};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,8 +21,8 @@
     Here(PartId),
     /// To another controller.
     There(MemberId),
-    /// To a part held here, once its record is written (its stamp is given).
-    Record(PartId, Stamp, Stamp, Option<MachineRecord>, Term),
+    /// To a part held here, once its record is written.
+    Adopt(PartId),
     /// Nobody can take it now.
     Nobody,
 }
@@ -54,8 +50,8 @@
                 );
             }
             Route::Nobody => return Response::later(503, 1),
-            Route::Record(part, part_stamp, stamp, record, term) => {
-                if !write_record(shared, &report, part, part_stamp, stamp, record, term) {
+            Route::Adopt(part) => {
+                if !adopt::join(shared, &report, part) {
                     return Response::later(503, 1);
                 }
             }
@@ -85,13 +81,9 @@
     };
     let held = |p: &PartId| node.owned.get(p).filter(|o| o.loaded && !o.leaving);
     match node.view.machines.get(&report.machine) {
-        Some((record, stamp)) => {
+        Some((record, _)) => {
             let part = record.part;
-            if let Some(owned) = held(&part).filter(|_| node.may_answer(now)) {
-                if record.endpoint.is_empty() && node.may_act(now) {
-                    let record = Some(record.clone());
-                    return Route::Record(part, owned.stamp, *stamp, record, Term(0));
-                }
+            if held(&part).is_some() && node.may_answer(now) {
                 return Route::Here(part);
             }
             match node.view.parts.get(&part) {
@@ -116,8 +108,8 @@
                 let all = node.owned.keys().filter_map(|p| Some((*p, free(p)?)));
                 all.min_by_key(|(_, o)| o.ledger.machines.len())
             });
-            if let Some((part, owned)) = mine {
-                return Route::Record(part, owned.stamp, Stamp(0), None, owned.ledger.term);
+            if let Some((part, _)) = mine {
+                return Route::Adopt(part);
             }
             let mut others = node.view.parts.values();
             match others.find(|(h, _)| h.member != shared.me) {
@@ -128,68 +120,6 @@
     }
 }
 
-/// Commits a machine's record with its worker's address, before its first
-/// launch.
-fn write_record(
-    shared: &Shared,
-    report: &Report,
-    part: PartId,
-    part_stamp: Stamp,
-    stamp: Stamp,
-    record: Option<MachineRecord>,
-    term: Term,
-) -> bool {
-    let adopted = record.is_none();
-    let mut commit = Commit::default();
-    let mut term = term;
-    if adopted && report.term >= term {
-        // Its worker obeyed some owner before, or this is a late copy of a
-        // report of a machine that is gone. Under a fresh term only a report
-        // that answers ours shows what is on it, and no attempt repeats.
-        let Ok((last, stamp)) = newest_term(shared) else {
-            return false;
-        };
-        term = Term(last.0.max(report.term.0) + 1);
-        commit = commit
-            .when(TERM, stamp)
-            .write(TERM, &TermRecord { last: term });
-    }
-    let mut record = record.unwrap_or_else(|| MachineRecord {
-        part,
-        term,
-        flavor: report.flavor.clone(),
-        zone: report.zone.clone(),
-        spot: report.spot,
-        endpoint: String::new(),
-        retiring: false,
-        images: Vec::new(),
-    });
-    record.endpoint.clone_from(&report.endpoint);
-    let key = machine_key(&report.machine);
-    let commit = commit
-        .when(key.clone(), stamp)
-        .when(part_key(part), part_stamp)
-        .write(key, &record);
-    match shared.state.commit(Class::Record, &commit) {
-        Ok(Outcome::Applied(stamp)) => {
-            let now = shared.clock.now();
-            shared
-                .node
-                .lock()
-                .put_machine(&report.machine, record, stamp, now);
-            if adopted {
-                log::info!("part {part} adopted {}", report.machine);
-            }
-            true
-        }
-        Ok(Outcome::Conflict) => false,
-        Err(e) => {
-            log::debug!("record of {}: {e}", report.machine);
-            false
-        }
-    }
-}
-
 fn answer(shared: &Shared, part: PartId, report: &Report) -> Response {
     let now = shared.clock.now();
     let mut node = shared.node.lock();
