--- a/crates/pulleywood-net/src/peer.rs
+++ b/crates/pulleywood-net/src/peer.rs
@@ -100,7 +100,7 @@
     max: usize,
     answer: impl Fn(Ask) -> Reply + Send + Sync + 'static,
 ) -> std::io::Result<SocketAddr> {
-    let listener = listen(addr)?;
+    let listener = listen(addr, max)?;
     let bound = listener.local_addr()?;
     let answer = Arc::new(answer);
     let open = Arc::new(AtomicUsize::new(0));
--- a/crates/pulleywood-net/src/server.rs
+++ b/crates/pulleywood-net/src/server.rs
@@ -15,8 +15,10 @@
 const REQUEST_TIME: Duration = Duration::from_secs(5);
 const WRITE_TIME: Duration = Duration::from_secs(3);
 const IDLE_TIME: Duration = Duration::from_secs(30);
-/// Idle time allowed while connections are scarce.
+/// Idle time allowed while connections are scarce; how scarce they are is
+/// looked at anew this often.
 const SCARCE_IDLE_TIME: Duration = Duration::from_millis(1500);
+const IDLE_LOOK: Duration = Duration::from_secs(6);
 const STACK: usize = 128 * 1024;
 
 /// A request.
@@ -43,6 +45,30 @@
     pub retry_after: Option<u32>,
     /// Methods that the path allows.
     pub allow: Option<&'static str>,
+    /// Who asked: whose connections are the first to go when they are scarce.
+    pub from: From,
+}
+
+/// Who is at the other end of a connection.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum From {
+    /// A user, or nobody yet. Its connections are closed after their answers,
+    /// or when idle, while more than half of all are open.
+    #[default]
+    User,
+    /// A worker, whose tasks die with its lease if it is not answered. Its
+    /// connection is closed after the answer only while fewer than one in seven
+    /// are left, so that whoever comes next finds one.
+    Worker,
+}
+
+impl From {
+    fn is_scarce(self, open: usize, max: usize) -> bool {
+        match self {
+            From::User => open * 2 > max,
+            From::Worker => open * 7 > max * 6,
+        }
+    }
 }
 
 impl Response {
@@ -96,7 +122,9 @@
 /// Listens on `addr` and serves up to `max` connections, each on a thread of
 /// its own from a pool that grows as needed. Returns the bound address.
 pub fn serve<H: Handler>(addr: SocketAddr, max: usize, handler: H) -> std::io::Result<SocketAddr> {
-    let listener = listen(addr)?;
+    // All workers may come at once, and one that has to wait for its second try
+    // to connect loses part of its lease.
+    let listener = listen(addr, max)?;
     let bound = listener.local_addr()?;
     let pool = Arc::new(Pool {
         handler,
@@ -112,8 +140,9 @@
     Ok(bound)
 }
 
-/// A listening socket that a restarted process can bind at once.
-pub fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+/// A listening socket that a restarted process can bind at once, for up to `max`
+/// connections.
+pub fn listen(addr: SocketAddr, max: usize) -> std::io::Result<TcpListener> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(addr),
         socket2::Type::STREAM,
@@ -121,7 +150,7 @@
     )?;
     socket.set_reuse_address(true)?;
     socket.bind(&addr.into())?;
-    socket.listen(256)?;
+    socket.listen(max.clamp(128, 4096) as i32)?;
     Ok(socket.into())
 }
 
@@ -175,7 +204,7 @@
 
 fn work<H: Handler>(pool: &Pool<H>) {
     loop {
-        let stream = {
+        let mut stream = {
             let mut queue = pool.queue.lock();
             queue.idle += 1;
             let mut timed_out = false;
@@ -191,10 +220,12 @@
                 None => return,
             }
         };
-        if let Err(e) = converse(stream, pool) {
+        if let Err(e) = converse(&mut stream, pool) {
             log::debug!("connection ended: {e}");
         }
-        pool.open.fetch_sub(1, Ordering::Relaxed);
+        // Whoever sees the end of this connection finds its place free.
+        pool.open.fetch_sub(1, Ordering::SeqCst);
+        drop(stream);
     }
 }
 
@@ -208,12 +239,15 @@
     Refuse(u16),
 }
 
-fn converse<H: Handler>(mut stream: TcpStream, pool: &Pool<H>) -> std::io::Result<()> {
+fn converse<H: Handler>(stream: &mut TcpStream, pool: &Pool<H>) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(WRITE_TIME))?;
     let mut buf: Vec<u8> = Vec::with_capacity(2048);
     let mut chunk = [0u8; 4096];
+    let mut from = From::User;
+    let mut waits = Duration::ZERO;
     loop {
+        let idle_until = Instant::now() + IDLE_TIME;
         let mut deadline: Option<Instant> =
             (!buf.is_empty()).then(|| Instant::now() + REQUEST_TIME);
         let (head, length, close) = loop {
@@ -224,18 +258,30 @@
                     close,
                 } if buf.len() >= head + length => break (head, length, close),
                 Parsed::Refuse(status) => {
-                    send(&mut stream, &Response::status(status), true)?;
+                    log::info!("a request was refused with {status}");
+                    send(stream, &Response::status(status), true)?;
                     return Ok(());
                 }
                 _ => {}
             }
+            let scarce = from.is_scarce(pool.open.load(Ordering::Relaxed), pool.max);
             let wait = match deadline {
                 Some(d) => crate::client::left(d)?,
-                None if pool.open.load(Ordering::Relaxed) * 4 > pool.max * 3 => SCARCE_IDLE_TIME,
-                None => IDLE_TIME,
+                None if scarce => SCARCE_IDLE_TIME,
+                None => IDLE_LOOK.min(crate::client::left(idle_until)?),
             };
-            stream.set_read_timeout(Some(wait))?;
+            if wait != waits {
+                stream.set_read_timeout(Some(wait))?;
+                waits = wait;
+            }
             match stream.read(&mut chunk) {
+                Err(e)
+                    if deadline.is_none()
+                        && !scarce
+                        && matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) =>
+                {
+                    continue;
+                }
                 Ok(0) => return Ok(()),
                 Ok(n) => buf.extend_from_slice(&chunk[..n]),
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
@@ -244,8 +290,9 @@
             deadline.get_or_insert_with(|| Instant::now() + REQUEST_TIME);
         };
         let response = respond(&buf[..head + length], head, &pool.handler);
-        let close = close || pool.open.load(Ordering::Relaxed) > pool.max * 9 / 10;
-        send(&mut stream, &response, close)?;
+        from = response.from;
+        let close = close || from.is_scarce(pool.open.load(Ordering::Relaxed), pool.max);
+        send(stream, &response, close)?;
         if close {
             return Ok(());
         }
@@ -364,6 +411,56 @@
         }
     }
 
+    /// Workers report, all others are users.
+    struct Door;
+    impl Handler for Door {
+        fn handle(&self, request: &Request<'_>) -> Response {
+            Response {
+                from: match request.path {
+                    "/v1/report" => From::Worker,
+                    _ => From::User,
+                },
+                ..Response::status(200)
+            }
+        }
+    }
+
+    /// Asks, and says whether the connection was kept open for more.
+    fn ask(addr: SocketAddr, path: &str) -> (String, Option<TcpStream>) {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        write!(stream, "GET {path} HTTP/1.1\r\n\r\n").unwrap();
+        let mut answer = Vec::new();
+        let mut byte = [0];
+        while !answer.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap() == 1 {
+            answer.push(byte[0]);
+        }
+        let answer = String::from_utf8(answer).unwrap();
+        if !answer.contains("Connection: close") {
+            return (answer, Some(stream));
+        }
+        assert_eq!(stream.read(&mut byte).unwrap(), 0, "it said that it closes");
+        (answer, None)
+    }
+
+    #[test]
+    fn connections_beyond_the_bound_are_answered_and_workers_keep_theirs() {
+        // Each connection has a thread, so that their number bounds both. When
+        // all were taken by whoever had come first, workers were refused and
+        // their leases ran out. (who, how many come, how many keep theirs)
+        let cases = [("/v2/runs/j-1", 100, 8), ("/v1/report", 100, 5)];
+        let addr = serve(([127, 0, 0, 1], 0).into(), 16, Door).unwrap();
+        let mut kept = Vec::new();
+        for (path, come, keep) in cases {
+            let before = kept.len();
+            for _ in 0..come {
+                let (answer, open) = ask(addr, path);
+                assert!(answer.starts_with("HTTP/1.1 200"), "{path}: {answer}");
+                kept.extend(open);
+            }
+            assert_eq!(kept.len() - before, keep, "{path}");
+        }
+    }
+
     #[test]
     fn malformed_and_oversized_requests_are_refused() {
         let addr = serve(([127, 0, 0, 1], 0).into(), 8, Echo).unwrap();
--- a/crates/pulleywood-wire/src/settings.rs
+++ b/crates/pulleywood-wire/src/settings.rs
@@ -145,6 +145,74 @@
     pub ram_mb: f64,
     /// Sockets.
     pub max_sockets: u32,
+    /// Threads; the platforms that pulleywood runs on allow as many by default.
+    #[serde(default = "default_threads")]
+    pub max_threads: u32,
+}
+
+fn default_threads() -> u32 {
+    2000
+}
+
+/// How many connections a controller serves at a time, each on a thread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Of users, workers and health checks.
+    pub connections: usize,
+    /// Of other controllers.
+    pub peers: usize,
+}
+
+impl Bounds {
+    /// Threads with a job of their own, those of rounds and take-overs included.
+    const OWN_THREADS: usize = 32;
+    /// Connections that one peer's calls may leave behind, hung by the network,
+    /// until they time out.
+    const PER_PEER: usize = 12;
+    /// Connections a MB of memory: one touches some tens of KB of its thread's
+    /// stack and buffers, and most of the memory is for jobs and machines.
+    const PER_MB: f64 = 6.0;
+
+    /// From the settings: a quarter of the sockets and of the threads is left
+    /// for calls of this controller's own.
+    pub fn new(settings: &Settings) -> Bounds {
+        let resources = &settings.cluster.resources;
+        let peers = (settings.seeds.len() * Self::PER_PEER).max(16);
+        let threads = (resources.max_threads as usize * 3 / 4)
+            .saturating_sub(Self::OWN_THREADS + peers + settings.seeds.len());
+        let sockets = (resources.max_sockets as usize * 3 / 4).saturating_sub(peers);
+        let memory = (resources.ram_mb * Self::PER_MB) as usize;
+        Bounds {
+            connections: sockets.min(threads).min(memory),
+            peers,
+        }
+    }
+
+    /// Fewest connections that a controller is of use with: some workers, some
+    /// users and the health check.
+    const FEWEST: usize = 16;
+
+    /// The setting that leaves too few connections, if any does.
+    fn too_few(settings: &Settings) -> Option<&'static str> {
+        if Self::new(settings).connections >= Self::FEWEST {
+            return None;
+        }
+        let mut more = settings.clone();
+        type Lift = fn(&mut Resources);
+        let fields: [(&str, Lift); 3] = [
+            ("max_sockets", |r| r.max_sockets = u32::MAX),
+            ("max_threads", |r| r.max_threads = u32::MAX),
+            ("ram_mb", |r| r.ram_mb = f64::from(u32::MAX)),
+        ];
+        // The first that, without a bound, is no longer what is lacking.
+        let before = Self::new(settings).connections;
+        let found = fields.iter().find(|(_, lift)| {
+            more.cluster.resources = settings.cluster.resources.clone();
+            lift(&mut more.cluster.resources);
+            Self::new(&more).connections > before
+        });
+        Some(found.map_or("max_sockets", |(name, _)| name))
+    }
 }
 
 /// A setting that cannot be used.
@@ -222,8 +290,9 @@
                 "too few for values of cluster.state.value_kb and jobs of 100,000 tasks",
             );
         }
-        if c.resources.max_sockets < 32 {
-            return wrong("cluster.resources.max_sockets", "must be at least 32");
+        if let Some(field) = Bounds::too_few(self) {
+            let path = format!("cluster.resources.{field}");
+            return wrong(&path, "too few for the other controllers and some workers");
         }
         if c.initial_size == 0 {
             return wrong("cluster.initial_size", "must be at least 1");
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -9,10 +9,10 @@
 use pulleywood_core::Config;
 use pulleywood_core::config::Policy;
 use pulleywood_net::peer::PeerClient;
-use pulleywood_net::server::{self, Handler, Request, Response};
+use pulleywood_net::server::{self, From, Handler, Request, Response};
 use pulleywood_net::{Budget, CloudClient, StateClient};
 use pulleywood_wire::MemberId;
-use pulleywood_wire::settings::Settings;
+use pulleywood_wire::settings::{Bounds, Settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -100,21 +100,20 @@
             finals: Mutex::new(Finals::default()),
             settings,
         });
-        let sockets = shared.settings.cluster.resources.max_sockets as usize;
-        // A connection's thread touches some tens of KB.
-        let by_memory = (shared.settings.cluster.resources.ram_mb * 6.0) as usize;
-        let most = (sockets * 3 / 4).min(by_memory).max(16);
+        let bounds = Bounds::new(&shared.settings);
         let peer_listen = address(&shared.settings.cluster_listen)?;
         let io = |what: &str| {
             let what = what.to_owned();
             move |e| StartError::Io(what, e)
         };
         let own = Arc::clone(&shared);
-        pulleywood_net::peer::serve(peer_listen, 32, move |ask| peers::answer(&own, ask))
-            .map_err(io("cluster_listen"))?;
+        pulleywood_net::peer::serve(peer_listen, bounds.peers, move |ask| {
+            peers::answer(&own, ask)
+        })
+        .map_err(io("cluster_listen"))?;
         let serve_on = address(&shared.settings.serve_on)?;
-        let serve_on =
-            server::serve(serve_on, most, Front(Arc::clone(&shared))).map_err(io("serve_on"))?;
+        let serve_on = server::serve(serve_on, bounds.connections, Front(Arc::clone(&shared)))
+            .map_err(io("serve_on"))?;
         let threads: [(&str, Body); 9] = [
             ("follow", follow::run),
             ("read", follow::read_for_users),
@@ -174,7 +173,10 @@
         };
         if path == "/v1/report" {
             return match post {
-                true => workers::report(shared, request.body),
+                true => Response {
+                    from: From::Worker,
+                    ..workers::report(shared, request.body)
+                },
                 false => not("POST"),
             };
         }
--- a/crates/pulleywood/tests/failures.rs
+++ b/crates/pulleywood/tests/failures.rs
@@ -171,6 +171,7 @@
                         list_lag_s: 0.5,
                     },
                     resources: Resources {
+                        max_threads: 2000,
                         cores: 1.0,
                         ram_mb: 200.0,
                         max_sockets: 400,
--- a/crates/pulleywood/tests/settings.rs
+++ b/crates/pulleywood/tests/settings.rs
@@ -17,7 +17,7 @@
             "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 40.0},
             "state": {"rps": 100.0, "write_rps": 20, "value_kb": 8.0, "txn_ops": 12},
             "cloud": {"rps": 2.0, "list_lag_s": 5.0},
-            "resources": {"cores": 0.1, "ram_mb": 64.0, "max_sockets": 500}
+            "resources": {"cores": 0.1, "ram_mb": 64.0, "max_sockets": 500, "max_threads": 2000}
         }
     })
 }
@@ -55,6 +55,22 @@
             json!(3),
             "cluster.resources.max_sockets",
         ),
+        // No room for the peers and one worker, for the stacks, for threads.
+        (
+            "/cluster/resources/max_sockets",
+            json!(40),
+            "cluster.resources.max_sockets",
+        ),
+        (
+            "/cluster/resources/ram_mb",
+            json!(2.0),
+            "cluster.resources.ram_mb",
+        ),
+        (
+            "/cluster/resources/max_threads",
+            json!(80),
+            "cluster.resources.max_threads",
+        ),
         ("/cluster/cloud", json!({"rps": 2.0}), "list_lag_s"),
     ];
     for (path, value, named) in cases {
