Keep parts to the zone of their controller, lend spread jobs at acceptance

Cause: in a zone's cut, two thirds of its machines belonged to controllers outside it; their workers had nobody to answer them and killed 418 tasks after their lease, while the owner inside the zone kept its own machines' tasks for the whole 42.5 s. Excluded: the take-over (the parts' terms were new within 9 s; what was missing was any way to the machines) and images (nothing was to be started where room was). Change: a new machine goes to a part whose preferred holder is in its zone; idle machines are moved within the zone, and other zones' room is reached by loans; a job spread over zones is lent by half in the transaction that accepts it.

--- a/crates/pulleywood-core/src/config.rs
+++ b/crates/pulleywood-core/src/config.rs
@@ -5,6 +5,7 @@
 use pulleywood_wire::record::{Slots, chunk_tasks};
 use pulleywood_wire::settings::{Objective, Settings};
 use pulleywood_wire::time::{secs, surely_past, surely_within};
+use pulleywood_wire::{MachineId, PartId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -95,6 +96,9 @@
     pub chunk: u32,
     /// Zones.
     pub zones: Vec<String>,
+    /// Zones of the controllers, in the order of their names: part P is
+    /// preferably held by the P-th, around again. Empty if all are in one.
+    pub homes: Vec<String>,
     /// Teams.
     pub teams: BTreeMap<String, Team>,
     /// What is expected of classes; those without a class hold for all.
@@ -105,6 +109,25 @@
     pub policy: Policy,
 }
 
+/// Zones of the controllers in the order of their names, unless they tell
+/// nothing.
+fn homes(settings: &Settings) -> Vec<String> {
+    let mut members: Vec<(&str, &str)> = settings
+        .seeds
+        .iter()
+        .map(|s| (s.member.as_str(), s.domain.as_str()))
+        .collect();
+    members.push((&settings.member, &settings.domain));
+    members.sort();
+    let zones = &settings.cluster.zones;
+    let homes: Vec<String> = members.into_iter().map(|(_, d)| d.to_owned()).collect();
+    let alike = homes.iter().all(|h| Some(h) == homes.first());
+    match alike || homes.iter().any(|h| !zones.contains(h)) {
+        true => Vec::new(),
+        false => homes,
+    }
+}
+
 impl Config {
     /// From checked settings and policy.
     pub fn new(settings: &Settings, policy: Policy) -> Self {
@@ -134,6 +157,7 @@
             value_bytes: (cluster.state.value_kb * 1024.0) as usize,
             chunk: chunk_tasks(cluster.state.value_kb),
             zones: cluster.zones.clone(),
+            homes: homes(settings),
             teams,
             objectives: cluster.objectives.clone(),
             flavors: BTreeMap::new(),
@@ -153,6 +177,24 @@
         self.value_bytes - self.value_bytes / 64
     }
 
+    /// The zone of the controller that preferably holds a part, if that is one
+    /// of the zones that machines are in and not all are there.
+    pub fn zone_of(&self, part: PartId) -> Option<&str> {
+        let at = (part.0 as usize).checked_rem(self.homes.len())?;
+        self.homes.get(at).map(String::as_str)
+    }
+
+    /// The part that takes in a new machine: one of its own zone, so that a cut
+    /// around the zone leaves machines with their owner, and else by its name.
+    pub fn part_for(&self, machine: &MachineId, zone: &str) -> PartId {
+        let near: Vec<PartId> = (0..self.parts)
+            .map(PartId)
+            .filter(|p| self.zone_of(*p) == Some(zone))
+            .collect();
+        let nth = machine.part(near.len() as u32).0 as usize;
+        near.get(nth).copied().unwrap_or(machine.part(self.parts))
+    }
+
     /// After this long without an answered report a worker has surely killed
     /// its tasks.
     pub fn surely_lapsed(&self) -> Duration {
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -380,6 +380,7 @@
                 b.part.is_some_and(|p| p != part)
                     && b.taken == 0
                     && b.idle
+                    && (!demand.free || near(config, part, b))
                     && b.free.fits(&need)
                     && allows(demand, &b.kind)
                     && (b.machine.as_ref()).is_some_and(|m| !memory.moved.contains_key(m))
@@ -506,6 +507,13 @@
     all
 }
 
+/// Whether a machine is in the zone that a part's machines are in. What can be
+/// lent goes to the machine instead, so that a cut around a zone leaves its
+/// machines with the owner in it.
+fn near(config: &Config, part: PartId, bin: &Bin) -> bool {
+    config.zone_of(part).is_none_or(|z| z == bin.kind.zone)
+}
+
 /// Tasks of one shape that all machines together run at a time, beside work
 /// bound to ordinary machines.
 fn slots(bins: &[Bin], demand: &Demand, need: &Room) -> f64 {
--- a/crates/pulleywood-core/src/home.rs
+++ b/crates/pulleywood-core/src/home.rs
@@ -2,9 +2,9 @@
 
 use crate::config::Config;
 use crate::room::Room;
-use pulleywood_wire::job::JobSpec;
+use pulleywood_wire::job::{JobSpec, Shape};
 use pulleywood_wire::peer::{MachineDigest, PartDigest};
-use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::record::{JobRecord, MachineRecord, TaskSet};
 use pulleywood_wire::{MachineId, PartId, Stamp};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -79,6 +79,37 @@
     best.map_or(by_hash, |o| o.part)
 }
 
+/// Lends half of a new job that is spread over zones to a part of another zone
+/// than its own, where machines are kept apart by zone: the other part has the
+/// room that they may use, and is told by the acceptance itself.
+pub fn spread(
+    config: &Config,
+    record: &mut JobRecord,
+    parts: &BTreeMap<PartId, Arc<PartDigest>>,
+    machines: &BTreeMap<MachineId, (MachineRecord, Stamp)>,
+    sent: &BTreeMap<PartId, f64>,
+) {
+    let spec = &record.spec;
+    let home = config.zone_of(record.part);
+    if !spec.spread || spec.tasks < 2 || spec.shape == Shape::Gang || home.is_none() {
+        return;
+    }
+    let mut others = parts.clone();
+    others.retain(|p, _| config.zone_of(*p) != home);
+    if others.is_empty() {
+        return;
+    }
+    let other = choose(config, spec, &others, machines, sent);
+    if others.contains_key(&other) {
+        let zone = config.zone_of(other).map(str::to_owned);
+        let mut tasks = TaskSet::new();
+        for i in spec.zone_limit()..spec.tasks {
+            tasks.insert(i);
+        }
+        record.lend(other, zone.as_deref(), &tasks);
+    }
+}
+
 fn offer(
     config: &Config,
     spec: &JobSpec,
--- a/crates/pulleywood-core/tests/common/mod.rs
+++ b/crates/pulleywood-core/tests/common/mod.rs
@@ -47,6 +47,7 @@
         batch_ops: 12,
         parts: 1,
         value_bytes: 8192,
+        homes: vec![],
         chunk: 1024,
         zones: vec!["a".into(), "b".into()],
         teams: BTreeMap::from([("red".to_owned(), team.clone()), ("blue".to_owned(), team)]),
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -630,14 +630,25 @@
         let mut parts = self.all_parts(now);
         parts.retain(|p, _| self.view.parts.contains_key(p));
         let part = home::choose(&config, &spec, &parts, &self.view.machines, &sent);
-        self.sent.push((now, part, home::size(&config, &spec)));
-        JobRecord {
+        let mut record = JobRecord {
             spec,
             at_ms,
             part,
             lent: Vec::new(),
             done: String::new(),
-        }
+        };
+        home::spread(&config, &mut record, &parts, &self.view.machines, &sent);
+        let shares = record.lent.iter().map(|l| (l.part, record.loan(l).len()));
+        let size = home::size(&config, &record.spec);
+        let one = size / f64::from(record.spec.tasks.max(1));
+        let mut mine = size;
+        for (part, tasks) in shares {
+            let size = one * f64::from(tasks);
+            mine -= size;
+            self.sent.push((now, part, size));
+        }
+        self.sent.push((now, part, mine));
+        record
     }
 }
 
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -96,7 +96,7 @@
         // whichever owner hears it. No owner launches before the record is
         // written, so it holds no task.
         None => {
-            let part = report.machine.part(node.config.parts);
+            let part = node.config.part_for(&report.machine, &report.zone);
             if let Some((holder, _)) = node.view.parts.get(&part)
                 && holder.member != shared.me
                 && let Route::There(member) = there(&holder.member)
