--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -389,3 +389,30 @@
     }
     assert!((100..=104).contains(&rented), "{rented} in ten rounds");
 }
+
+#[test]
+fn idle_machines_are_moved_within_their_zone_and_lent_to_from_outside() {
+    // Part A's machines are in zone b, part B's idle one is in zone a.
+    // (zones of the controllers, tasks may be lent, moves, loans)
+    let homes = ["b".to_owned(), "a".to_owned()];
+    let cases = [
+        (&homes[..], true, 0, 1),
+        (&homes[..], false, 1, 0),
+        (&[], true, 1, 0),
+    ];
+    for (homes, free, moves, loans) in cases {
+        let mut f = Fleet::new();
+        f.config.homes = homes.to_vec();
+        f.machine(B, 1, 0.0, Rank::Idle, 5.0);
+        let demand = demand(1, Rank::Standard, true);
+        f.needs(A, Demand { free, ..demand });
+        let actions = f.decide(at(100.0));
+        let moved = actions.iter().filter(|a| matches!(a, Action::Move(..)));
+        let lent = actions.iter().filter(|a| matches!(a, Action::Lend(..)));
+        assert_eq!(
+            (moved.count(), lent.count()),
+            (moves, loans),
+            "{free}: {actions:?}"
+        );
+    }
+}
--- a/crates/pulleywood-core/tests/home.rs
+++ b/crates/pulleywood-core/tests/home.rs
@@ -112,3 +112,61 @@
         assert_eq!(chosen, PartId(expected), "{name}");
     }
 }
+
+/// Three controllers, the second in zone b.
+fn zoned() -> pulleywood_core::Config {
+    let mut config = config();
+    config.parts = 3;
+    config.homes = vec!["a".into(), "b".into(), "a".into()];
+    config
+}
+
+#[test]
+fn new_machines_go_to_a_part_of_their_zone() {
+    // Workers of a zone that is cut off are answered by the owner inside it.
+    let config = zoned();
+    for (zone, parts) in [("a", &[0, 2][..]), ("b", &[1]), ("c", &[0, 1, 2])] {
+        let mut seen = std::collections::BTreeSet::new();
+        for n in 0..100 {
+            seen.insert(config.part_for(&machine(n), zone).0);
+        }
+        assert!(seen.iter().eq(parts), "{zone}: {seen:?}");
+    }
+}
+
+#[test]
+fn a_spread_job_is_lent_by_half_as_it_is_accepted() {
+    // (spread, tasks, zones of the controllers, part, lent to)
+    let apart = zoned().homes;
+    let cases = [
+        (true, 6, &apart[..], 0, Some((1, 3))),
+        (true, 5, &apart[..], 1, Some((0, 2))),
+        (true, 1, &apart[..], 0, None),
+        (false, 6, &apart[..], 0, None),
+        (true, 6, &[], 0, None),
+    ];
+    for (spread, tasks, homes, home, expected) in cases {
+        let mut config = zoned();
+        config.homes = homes.to_vec();
+        let mut parts = BTreeMap::new();
+        let mut machines = BTreeMap::new();
+        for n in 0..2 {
+            let (digest, id, record) = part(n, 4.0, 1.0, "img");
+            machines.insert(id, (record, Stamp(1)));
+            parts.insert(PartId(n), std::sync::Arc::new(digest));
+        }
+        let mut record = job(spec(1, tasks));
+        record.spec.spread = spread;
+        record.part = PartId(home);
+        home::spread(&config, &mut record, &parts, &machines, &BTreeMap::new());
+        let lent = record
+            .lent
+            .first()
+            .map(|l| (l.part.0, record.loan(l).len()));
+        assert_eq!(lent, expected, "{spread}, {tasks} tasks");
+        if let Some((to, n)) = lent {
+            assert_eq!(record.lent[0].zone.as_deref(), config.zone_of(PartId(to)));
+            assert_eq!(record.share(PartId(home)).len(), tasks - n);
+        }
+    }
+}
--- a/crates/pulleywood-core/tests/work.rs
+++ b/crates/pulleywood-core/tests/work.rs
@@ -156,3 +156,16 @@
         );
     }
 }
+
+#[test]
+fn records_of_many_machines_take_few_writes() {
+    // A write each kept the last of a wave of 600 waiting for 15 s.
+    // (bytes of a value, fewest machines that share one)
+    for (bytes, fewest) in [(4096, 8), (8192, 16), (65_536, 140)] {
+        let mut config = config();
+        config.value_bytes = bytes;
+        let machines = config.rack_machines();
+        assert!(machines >= fewest, "{bytes}: {machines}");
+        assert!(config.rack_bytes() < bytes);
+    }
+}
--- a/crates/pulleywood-net/src/client.rs
+++ b/crates/pulleywood-net/src/client.rs
@@ -170,7 +170,7 @@
         };
         conn.buf.extend_from_slice(&chunk[..n]);
         if conn.buf.len() > MAX_ANSWER {
-            return Err(bad("answer too long"));
+            return Err(ErrorKind::FileTooLarge.into());
         }
         if head.is_none() {
             head = parse_head(&conn.buf)?;
--- a/crates/pulleywood-net/src/peer.rs
+++ b/crates/pulleywood-net/src/peer.rs
@@ -11,29 +11,54 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-const MAX_MESSAGE: usize = 1 << 20;
+/// Most bytes of a message: a digest takes about a hundred a machine.
+const MAX_MESSAGE: usize = 16 << 20;
+/// Most bytes of a frame. A longer message is split, so that memory is taken
+/// only for what has come.
+const MAX_FRAME: usize = 256 << 10;
+/// In a frame's length: another frame of the same message follows.
+const MORE: u32 = 1 << 31;
 const STACK: usize = 192 * 1024;
 
-fn write_message<T: Serialize>(stream: &mut TcpStream, message: &T) -> std::io::Result<()> {
-    let body = rmp_serde::to_vec(message)
-        .map_err(|e| std::io::Error::new(ErrorKind::InvalidData, e.to_string()))?;
-    let mut out = Vec::with_capacity(body.len() + 4);
-    out.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    out.extend_from_slice(&body);
-    stream.write_all(&out)
+fn invalid(text: String) -> std::io::Error {
+    std::io::Error::new(ErrorKind::InvalidData, text)
 }
 
-fn read_message<T: DeserializeOwned>(stream: &mut TcpStream) -> std::io::Result<T> {
-    let mut len = [0u8; 4];
-    stream.read_exact(&mut len)?;
-    let len = u32::from_be_bytes(len) as usize;
-    if len > MAX_MESSAGE {
-        return Err(std::io::Error::new(ErrorKind::InvalidData, "too long"));
+fn write_message<T: Serialize>(stream: &mut impl Write, message: &T) -> std::io::Result<()> {
+    let body = rmp_serde::to_vec(message).map_err(|e| invalid(e.to_string()))?;
+    if body.len() > MAX_MESSAGE {
+        return Err(invalid(format!("a message of {} bytes", body.len())));
+    }
+    let mut left = body.len();
+    for frame in body.chunks(MAX_FRAME) {
+        left -= frame.len();
+        let more = if left > 0 { MORE } else { 0 };
+        let mut out = Vec::with_capacity(frame.len() + 4);
+        out.extend_from_slice(&(frame.len() as u32 | more).to_be_bytes());
+        out.extend_from_slice(frame);
+        stream.write_all(&out)?;
+    }
+    Ok(())
+}
+
+fn read_message<T: DeserializeOwned>(stream: &mut impl Read) -> std::io::Result<T> {
+    let mut body = Vec::new();
+    loop {
+        let mut head = [0u8; 4];
+        stream.read_exact(&mut head)?;
+        let head = u32::from_be_bytes(head);
+        let length = (head & !MORE) as usize;
+        let start = body.len();
+        if length > MAX_FRAME || start + length > MAX_MESSAGE {
+            log::error!("a message of more than {start} bytes from another controller");
+            return Err(invalid("too long".into()));
+        }
+        body.resize(start + length, 0);
+        stream.read_exact(&mut body[start..])?;
+        if head & MORE == 0 {
+            return rmp_serde::from_slice(&body).map_err(|e| invalid(e.to_string()));
+        }
     }
-    let mut body = vec![0u8; len];
-    stream.read_exact(&mut body)?;
-    rmp_serde::from_slice(&body)
-        .map_err(|e| std::io::Error::new(ErrorKind::InvalidData, e.to_string()))
 }
 
 /// Calls to one other controller, one at a time over a kept-alive connection.
@@ -144,3 +169,38 @@
         write_message(&mut stream, &answer(ask))?;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_past_a_frame_are_split_and_those_past_the_bound_refused() {
+        // (bytes of text, frames; none: refused)
+        let cases = [
+            (10, Some(1)),
+            (MAX_FRAME - 5, Some(1)),
+            (MAX_FRAME, Some(2)),
+            (MAX_FRAME * 5, Some(6)),
+            (MAX_MESSAGE + 1, None),
+        ];
+        for (bytes, frames) in cases {
+            let text = "x".repeat(bytes);
+            let mut wire = Vec::new();
+            let sent = write_message(&mut wire, &text);
+            assert_eq!(sent.is_ok(), frames.is_some(), "{bytes}");
+            let Some(frames) = frames else { continue };
+            let packed = rmp_serde::to_vec(&text).unwrap().len();
+            assert_eq!((wire.len() - packed) / 4, frames, "{bytes}");
+            let read: String = read_message(&mut &wire[..]).unwrap();
+            assert_eq!(read, text);
+        }
+        // More than the bound, however it is cut up.
+        let mut wire = Vec::new();
+        for _ in 0..=MAX_MESSAGE / MAX_FRAME {
+            wire.extend((MAX_FRAME as u32 | MORE).to_be_bytes());
+            wire.extend(vec![0; MAX_FRAME]);
+        }
+        assert!(read_message::<String>(&mut &wire[..]).is_err());
+    }
+}
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -28,7 +28,7 @@
     /// The lease is gone.
     #[error("no such lease")]
     NoLease,
-    /// The watch's start is too old.
+    /// The watch's start is too old, or too much has changed since.
     #[error("too old")]
     TooOld,
 }
@@ -125,6 +125,11 @@
             Ok(a) if a.status == 429 || a.status >= 500 => Err(StateError::Refused(a.status)),
             Ok(a) => Ok(a),
             Err(Failure::NotSent(e)) => Err(StateError::NotSent(e)),
+            // After a long cut a watch brings more than fits into memory: what is
+            // live is read instead.
+            Err(Failure::Unknown(e)) if e.kind() == std::io::ErrorKind::FileTooLarge => {
+                Err(StateError::TooOld)
+            }
             Err(Failure::Unknown(e)) => Err(StateError::Unknown(e.to_string())),
         }
     }
--- a/crates/pulleywood-wire/tests/records.rs
+++ b/crates/pulleywood-wire/tests/records.rs
@@ -2,9 +2,12 @@
 
 use pulleywood_wire::cbor::{self, Amount};
 use pulleywood_wire::pack::{PackRecord, Packs};
-use pulleywood_wire::record::{ChunkRecord, JobRecord, Key, TaskSet, chunk_tasks};
+use pulleywood_wire::rack::{RackRecord, Racks};
+use pulleywood_wire::record::{ChunkRecord, JobRecord, Key, MachineRecord, TaskSet, chunk_tasks};
 use pulleywood_wire::state::Commit;
-use pulleywood_wire::{Attempt, JobId, JobSpec, PartId, Rank, Shape, Stamp, TaskId, Term};
+use pulleywood_wire::{
+    Attempt, JobId, JobSpec, MachineId, PartId, Rank, Shape, Stamp, TaskId, Term,
+};
 
 fn spec(tasks: u32) -> JobSpec {
     JobSpec {
@@ -237,3 +240,85 @@
     packs.forget(30);
     assert_eq!(packs.find(&id(2)), None);
 }
+
+fn machine(n: usize) -> MachineId {
+    MachineId::from(format!("vm-{n:06}").as_str())
+}
+
+fn rack(machines: std::ops::Range<usize>, images: usize) -> RackRecord {
+    let record = MachineRecord {
+        part: PartId(4),
+        term: Term(123_456),
+        flavor: "flavor-with-64".into(),
+        zone: "some-zone-name".into(),
+        spot: false,
+        endpoint: "10.100.100.100:9000".into(),
+        retiring: false,
+        images: (0..images)
+            .map(|n| (format!("image-{n:04}"), Amount(12.25)))
+            .collect(),
+    };
+    let machines = machines.map(|n| (machine(n), record.clone()));
+    RackRecord {
+        machines: machines.collect(),
+    }
+}
+
+#[test]
+fn machines_are_in_one_rack_and_older_changes_count_for_nothing() {
+    let mut racks = Racks::default();
+    let put = |racks: &mut Racks, n, rack: Option<RackRecord>, stamp| {
+        let changed = racks.put(n, rack, Stamp(stamp))?;
+        Some((changed.held.len(), changed.gone.len()))
+    };
+    // (rack, machines, stamp, held and gone)
+    let cases = [
+        (1, Some(rack(0..4, 0)), 10, Some((4, 0))),
+        (1, Some(rack(0..4, 0)), 10, None),
+        (1, Some(rack(1..3, 1)), 12, Some((2, 2))),
+        (1, Some(rack(0..4, 0)), 11, None),
+        (2, Some(rack(7..9, 0)), 13, Some((2, 0))),
+        (2, None, 14, Some((0, 2))),
+        (2, Some(rack(7..9, 0)), 13, None),
+    ];
+    for (step, (n, record, stamp, expected)) in cases.into_iter().enumerate() {
+        assert_eq!(put(&mut racks, n, record, stamp), expected, "step {step}");
+    }
+    assert_eq!(racks.find(&machine(1)), Some(1));
+    assert_eq!(racks.find(&machine(0)), None);
+    assert_eq!(racks.find(&machine(7)), None);
+}
+
+#[test]
+fn what_changes_of_a_racks_machines_is_one_write_that_fits() {
+    let limit = 8192;
+    let mut racks = Racks::default();
+    racks.put(1, Some(rack(0..18, 0)), Stamp(5));
+    racks.put(2, Some(rack(18..36, 0)), Stamp(6));
+    // (images that each machine comes to have, machines that end)
+    for (images, end) in [(0, 0), (5, 1), (60, 0), (60, 17), (3, 18)] {
+        let mut edits = std::collections::BTreeMap::new();
+        for (n, (id, record)) in rack(0..18, images).machines.into_iter().enumerate() {
+            edits.insert(id, (n >= end).then_some(record));
+        }
+        let (commit, after) = racks.change(Commit::default(), &edits, limit);
+        assert!(commit.is_compare_and_set());
+        assert_eq!(
+            (commit.changes.len(), after.len()),
+            (1, 1),
+            "{images}, {end}"
+        );
+        assert_eq!(commit.conditions[0].stamp, Stamp(5));
+        let (n, next) = &after[0];
+        assert_eq!(*n, 1);
+        assert_eq!(next.is_none(), end == 18);
+        if let Some(next) = next {
+            assert_eq!(next.machines.len(), 18 - end);
+            assert!(next.bytes() <= limit, "{images} images: {}", next.bytes());
+            // The least recently used are forgotten.
+            let last = next.machines[&machine(17)].images.last();
+            let newest = images.checked_sub(1).map(|n| format!("image-{n:04}"));
+            assert_eq!(last.map(|(name, _)| name.clone()), newest);
+        }
+    }
+}
