--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -1190,13 +1190,17 @@
     /// Slots in use or perhaps in use by team. A machine whose tasks are not
     /// all known counts in full against every limited team.
     pub fn used(&self, config: &Config) -> BTreeMap<String, Slots> {
-        let mut by_team: BTreeMap<&str, Slots> = BTreeMap::new();
+        // A few teams, and thousands of slots.
+        let mut by_team: Vec<(&str, Slots)> = Vec::new();
         let mut unknown = Slots::default();
         for machine in self.machines.values() {
             for slot in machine.slots.iter().filter(|s| s.holds_room()) {
                 if let Some(spec) = &slot.spec {
-                    let sum = by_team.entry(&spec.team).or_default();
-                    add(sum, Room::of_task(spec).slots());
+                    let slots = Room::of_task(spec).slots();
+                    match by_team.iter_mut().find(|(team, _)| *team == spec.team) {
+                        Some((_, sum)) => add(sum, slots),
+                        None => by_team.push((&spec.team, slots)),
+                    }
                 }
             }
             if machine.unheard || machine.has_foreign() {
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -366,7 +366,7 @@
     used: BTreeMap<String, Slots>,
     /// Lowest rank that holds room, and teams that do.
     lowest: Option<Rank>,
-    holders: BTreeSet<&'a str>,
+    holders: Vec<&'a str>,
     ahead: u32,
     /// A machine's room was kept for a job that fits nowhere.
     kept: bool,
@@ -390,11 +390,13 @@
         let smallest = waiting.fold(most, |a, t| a.least(&Room::of_task(&t.job.spec)));
         let sites = ledger.sites(now, config);
         let mut lowest: Option<Rank> = None;
-        let mut holders = BTreeSet::new();
+        let mut holders: Vec<&str> = Vec::new();
         for slot in sites.iter().flat_map(|s| s.slots) {
             if let Some(spec) = slot.spec.as_ref().filter(|_| slot.holds_room()) {
                 lowest = Some(lowest.map_or(spec.rank, |l| l.min(spec.rank)));
-                holders.insert(spec.team.as_str());
+                if !holders.contains(&spec.team.as_str()) {
+                    holders.push(&spec.team);
+                }
             }
         }
         let mut planner = Planner {
@@ -651,7 +653,8 @@
 
     /// Whether anything at all may be stopped for a task.
     fn may_stop(&self, spec: &JobSpec, beyond: &BTreeSet<&str>) -> bool {
-        self.lowest.is_some_and(|rank| rank < spec.rank) || !beyond.is_disjoint(&self.holders)
+        self.lowest.is_some_and(|rank| rank < spec.rank)
+            || self.holders.iter().any(|team| beyond.contains(team))
     }
 
     /// Teams that use more than their guarantee, other than this one: work of
