Let machines join a rack that has room

Cause: 700 machines stood in 460 racks, as most come up one by one; each then costs two writes where it had cost one, and its images a write of their own.

--- a/crates/pulleywood-wire/src/rack.rs
+++ b/crates/pulleywood-wire/src/rack.rs
@@ -101,6 +101,22 @@
         self.racks.get(&n)
     }
 
+    /// The fullest rack that `room` more machines bring to `most` at the most,
+    /// among those that hold only such machines.
+    pub fn open(
+        &self,
+        room: usize,
+        most: usize,
+        such: impl Fn(&MachineRecord) -> bool,
+    ) -> Option<(u64, &RackRecord, Stamp)> {
+        let racks = self.racks.iter().map(|(n, (rack, at))| (*n, rack, *at));
+        racks
+            .filter(|(_, rack, _)| !rack.machines.is_empty())
+            .filter(|(_, rack, _)| rack.machines.len() + room <= most)
+            .filter(|(_, rack, _)| rack.machines.values().all(&such))
+            .max_by_key(|(_, rack, _)| rack.machines.len())
+    }
+
     /// Adds to a transaction that machines' records change, or end. What their
     /// racks are then is returned, to be put once it is applied.
     pub fn change(
--- a/crates/pulleywood-wire/tests/records.rs
+++ b/crates/pulleywood-wire/tests/records.rs
@@ -285,6 +285,13 @@
         assert_eq!(put(&mut racks, n, record, stamp), expected, "step {step}");
     }
     assert_eq!(racks.find(&machine(1)), Some(1));
+    // Newcomers join the fullest rack that they do not overfill.
+    racks.put(3, Some(rack(20..30, 0)), Stamp(20));
+    for (room, expected) in [(1, Some(3)), (2, Some(3)), (3, Some(1)), (11, None)] {
+        let open = racks.open(room, 12, |m| m.part == PartId(4));
+        assert_eq!(open.map(|(n, ..)| n), expected, "{room}");
+    }
+    assert!(racks.open(1, 12, |m| m.part == PartId(5)).is_none());
     assert_eq!(racks.find(&machine(0)), None);
     assert_eq!(racks.find(&machine(7)), None);
 }
--- a/crates/pulleywood/src/adopt.rs
+++ b/crates/pulleywood/src/adopt.rs
@@ -6,7 +6,6 @@
 use crate::node::Shared;
 use crate::owner::newest_term;
 use pulleywood_net::Class;
-use pulleywood_wire::pack::PackHead;
 use pulleywood_wire::rack::RackRecord;
 use pulleywood_wire::record::{MachineRecord, RACKS, TERM, TermRecord, part_key, rack_key};
 use pulleywood_wire::state::Commit;
@@ -90,7 +89,7 @@
         };
         let Some(fresh) = fresh else { break };
         let now = shared.clock.now();
-        let (commit, n, rack) = {
+        let (commit, head, n, rack, ids) = {
             let node = shared.node.lock();
             let known: Vec<u64> = waiting
                 .iter()
@@ -101,12 +100,20 @@
             for ticket in &known {
                 waiting.remove(ticket);
             }
-            let (last, head) = node.view.rack_head;
-            let next = PackHead {
-                last: last.last + 1,
+            // Few come at a time in the long run: they join a rack that has room.
+            let (config, racks) = (&node.config, &node.view.racks);
+            let ours = |m: &MachineRecord| node.owned.contains_key(&m.part);
+            let open = racks.open(waiting.len(), config.rack_machines(), ours);
+            let (mut next, head) = node.view.rack_head;
+            let (n, mut rack, rack_stamp) = match open {
+                Some((n, rack, stamp)) => (n, rack.clone(), stamp),
+                None => {
+                    next.last += 1;
+                    (next.last, RackRecord::default(), Stamp(0))
+                }
             };
             let mut commit = Commit::default().when(RACKS, head).write(RACKS, &next);
-            let mut rack = RackRecord::default();
+            let mut ids = BTreeSet::new();
             let mut parts: BTreeSet<PartId> = BTreeSet::new();
             for newcomer in waiting.values() {
                 let owned = node.owned.get(&newcomer.part);
@@ -122,29 +129,31 @@
                     false => continue,
                 };
                 rack.machines.insert(newcomer.id.clone(), record);
+                ids.insert(newcomer.id.clone());
                 if parts.insert(newcomer.part) {
                     commit = commit.when(part_key(newcomer.part), owned.stamp);
                 }
             }
-            if rack.machines.is_empty() {
+            if ids.is_empty() {
                 break;
             }
+            rack.fit(config.rack_bytes());
             if fresh.0 > Term(0) {
                 let record = TermRecord { last: fresh.0 };
                 commit = commit.when(TERM, fresh.1).write(TERM, &record);
             }
-            let key = rack_key(next.last);
-            commit = commit.when(key.clone(), Stamp(0)).write(key, &rack);
-            (commit, next, rack)
+            let key = rack_key(n);
+            commit = commit.when(key.clone(), rack_stamp).write(key, &rack);
+            (commit, next, n, rack, ids)
         };
         match shared.state.commit_paid(&commit) {
             Ok(Ok(stamp)) => {
                 let now = shared.clock.now();
-                log::info!("rack {}: adopted {}", n.last, names(&rack));
+                let names: Vec<&str> = ids.iter().map(|id| &*id.0).collect();
+                log::info!("rack {n}: adopted {}", names.join(" "));
                 let mut node = shared.node.lock();
-                node.view.rack_head = (n, stamp);
-                let ids: BTreeSet<MachineId> = rack.machines.keys().cloned().collect();
-                node.put_rack(n.last, Some(rack), stamp, now);
+                node.view.rack_head = (head, stamp);
+                node.put_rack(n, Some(rack), stamp, now);
                 drop(node);
                 let (taken, left): (Vec<_>, Vec<_>) =
                     waiting.into_iter().partition(|(_, w)| ids.contains(&w.id));
@@ -155,13 +164,13 @@
             }
             // Another rack was written meanwhile, or a part changed hands.
             Ok(Err(failed)) => {
-                log::debug!("rack {}: {failed:?} changed", n.last);
+                log::debug!("rack {n}: {failed:?} changed");
                 if let Err(e) = follow::changes(shared, Class::Record, Duration::ZERO) {
                     log::debug!("reading the racks: {e}");
                 }
             }
             Err(e) => {
-                log::debug!("rack {}: {e}", n.last);
+                log::debug!("rack {n}: {e}");
                 break;
             }
         }
@@ -186,8 +195,3 @@
     let (last, stamp) = newest_term(shared).ok()?;
     Some((Term(last.0.max(seen.0) + 1), stamp))
 }
-
-fn names(rack: &RackRecord) -> String {
-    let names: Vec<String> = rack.machines.keys().map(ToString::to_string).collect();
-    names.join(" ")
-}
