Never name a rental twice under one term; give up the role without a part

Excluded: the lease (renewed throughout) and the watch (the key was never deleted). Now the role is given up with the last part, and names go on where they were.

--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -39,11 +39,38 @@
     released: HashMap<MachineId, Moment>,
 }
 
+impl Office {
+    /// Takes up the role under a term. A controller that could not act for a
+    /// while may find itself in it under the same one: its request names go on
+    /// from where they were, since a name that is used again rents nothing.
+    fn enter(former: Option<Office>, term: Term, stamp: Stamp) -> Office {
+        let former = former.filter(|o| o.term == term);
+        let (hires, pending) = former.map_or((0, Vec::new()), |o| (o.hires, o.pending));
+        Office {
+            term,
+            stamp,
+            hires,
+            pending,
+            memory: Memory::default(),
+            list: Vec::new(),
+            listed_at: None,
+            released: HashMap::new(),
+        }
+    }
+
+    /// A name that no request ever had.
+    fn name(&mut self) -> String {
+        self.hires += 1;
+        format!("h-{}-{}", self.term, self.hires)
+    }
+}
+
 /// Runs for the life of the process; acts while this controller has the role.
 pub fn run(shared: &Arc<Shared>) {
     learn_flavors(shared);
     let mut learned = shared.clock.now();
     let mut office: Option<Office> = None;
+    let mut acting = false;
     loop {
         std::thread::sleep(ROUND.mul_f64(0.9 + 0.2 * fastrand::f64()));
         let now = shared.clock.now();
@@ -55,22 +82,17 @@
         }
         match hold_role(shared) {
             Ok(Some((term, stamp))) => {
-                if office.as_ref().is_none_or(|o| o.term != term) {
+                if !acting || office.as_ref().is_none_or(|o| o.term != term) {
                     log::info!("coordinator under term {term}");
                     shared.cloud.take_office();
-                    office = Some(Office {
-                        term,
-                        stamp,
-                        hires: 0,
-                        pending: Vec::new(),
-                        memory: Memory::default(),
-                        list: Vec::new(),
-                        listed_at: None,
-                        released: HashMap::new(),
-                    });
+                    office = Some(Office::enter(office.take(), term, stamp));
+                    acting = true;
                 }
             }
-            Ok(None) => office = None,
+            Ok(None) => {
+                acting = false;
+                continue;
+            }
             Err(e) => {
                 log::debug!("role: {e}");
                 continue;
@@ -110,13 +132,29 @@
 /// Keeps or takes the role; its term makes request names unique for ever.
 fn hold_role(shared: &Shared) -> Result<Option<(Term, Stamp)>, StateError> {
     let now = shared.clock.now();
-    let (permit, role) = {
+    let (permit, role, partless) = {
         let node = shared.node.lock();
-        if !node.may_act(now) || node.owned.is_empty() {
+        if !node.may_act(now) {
             return Ok(None);
         }
-        (node.lease.permit, node.view.role.clone())
+        let partless = node.owned.is_empty();
+        (node.lease.permit, node.view.role.clone(), partless)
     };
+    if partless {
+        // One that no worker reaches holds no part, perhaps for minutes: kept
+        // there, the role was nobody's for 110 s.
+        if let Some((holder, stamp)) = role
+            && holder.member == shared.me
+            && holder.boot == shared.boot
+        {
+            let commit = Commit::default().when(ROLE, stamp).delete(ROLE);
+            if let Outcome::Applied(_) = shared.state.commit(Class::Owner, &commit)? {
+                log::info!("gave up the coordinator's role");
+                shared.node.lock().view.role = None;
+            }
+        }
+        return Ok(None);
+    }
     let Some(permit) = permit else {
         return Ok(None);
     };
@@ -328,9 +366,8 @@
             while left > 0 && office.memory.open(&kind, now) {
                 let how_many = left.min(MAX_HIRE);
                 left -= how_many;
-                office.hires += 1;
                 let hire = Hire {
-                    hire: format!("h-{}-{}", office.term, office.hires),
+                    hire: office.name(),
                     rig: kind.flavor.clone(),
                     yard: kind.zone.clone(),
                     loaner: kind.spot,
@@ -516,3 +553,23 @@
     }
     false
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_of_rentals_never_repeat() {
+        // (terms of the role, one after the other; names asked for under each)
+        let mut seen = BTreeSet::new();
+        let mut office = None;
+        for (term, names) in [(20, 3), (20, 2), (21, 1), (21, 0), (21, 2)] {
+            let mut now = Office::enter(office.take(), Term(term), Stamp(term));
+            for _ in 0..names {
+                let name = now.name();
+                assert!(seen.insert(name.clone()), "{name} again under term {term}");
+            }
+            office = Some(now);
+        }
+    }
+}
