--- a/crates/pulleywood/src/adopt.rs
+++ b/crates/pulleywood/src/adopt.rs
@@ -79,6 +79,10 @@
 
 fn write_rack(shared: &Arc<Shared>, mut waiting: BTreeMap<u64, Newcomer>) {
     for attempt in 0..TRIES {
+        // Others write racks too: see intake.
+        if let Err(e) = follow::changes(shared, Class::Record, Duration::ZERO) {
+            log::debug!("reading the racks: {e}");
+        }
         let late = attempt > 0 && shared.state.take(Class::Record, 2).is_err();
         let fresh = match late {
             true => None,
@@ -165,9 +169,6 @@
             // Another rack was written meanwhile, or a part changed hands.
             Ok(Err(failed)) => {
                 log::debug!("rack {n}: {failed:?} changed");
-                if let Err(e) = follow::changes(shared, Class::Record, Duration::ZERO) {
-                    log::debug!("reading the racks: {e}");
-                }
             }
             Err(e) => {
                 log::debug!("rack {n}: {e}");
--- a/crates/pulleywood/src/intake.rs
+++ b/crates/pulleywood/src/intake.rs
@@ -100,6 +100,12 @@
 fn write_pack(shared: &Arc<Shared>, mut waiting: BTreeMap<u64, Waiting>) {
     let intake = &shared.intake;
     for attempt in 0..TRIES {
+        // The watch gathers changes, and at a burst others write their packs
+        // meanwhile: a pack that rests on an old head is refused, and counts
+        // against the state service's rate all the same. A read does not.
+        if let Err(e) = follow::changes(shared, Class::Pack, Duration::ZERO) {
+            log::debug!("reading the packs: {e}");
+        }
         let (head, parts) = {
             let node = shared.node.lock();
             let known: Vec<u64> = waiting
@@ -180,10 +186,6 @@
                     waiting.remove(ticket);
                 }
                 intake.tell(known, || Verdict::Known);
-                // Another pack was written meanwhile: learn of it first.
-                if let Err(e) = follow::changes(shared, Class::User, Duration::ZERO) {
-                    log::debug!("reading the packs: {e}");
-                }
             }
             Err(e) => {
                 log::debug!("pack {}: {e}", next.last);
