--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -1147,8 +1147,19 @@
     /// own for long enough, and none of them has been heard. If it were the
     /// machines that are gone, another owner would lose nothing by them.
     pub fn hears_nobody(&self, now: Moment, config: &Config) -> bool {
-        const FEW: usize = 3;
         let bound = (config.report * 2 + Duration::from_secs(1)).max(config.lease.mul_f64(0.3));
+        self.silent_for(bound, now, config)
+    }
+
+    /// Whether that may be about to show: such an owner takes no other part,
+    /// which would wait here for nothing once more.
+    pub fn may_hear_nobody(&self, now: Moment, config: &Config) -> bool {
+        let bound = config.report.mul_f64(1.25) + Duration::from_millis(500);
+        self.silent_for(bound, now, config)
+    }
+
+    fn silent_for(&self, bound: Duration, now: Moment, config: &Config) -> bool {
+        const FEW: usize = 3;
         let mut known = 0;
         for machine in self.machines.values() {
             let last = machine.heard.unwrap_or(machine.joined).max(machine.joined);
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -512,5 +512,13 @@
             b.turn(&report, now);
         }
         assert_eq!(b.ledger.hears_nobody(at(now), &b.config), noticed, "{name}");
+        // Until it shows, other parts are not taken: four of five controllers
+        // that no worker reached once handed parts to each other.
+        if noticed {
+            assert!(
+                b.ledger.may_hear_nobody(at(now - s + 2.0), &b.config),
+                "{name}"
+            );
+        }
     }
 }
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -206,6 +206,9 @@
     if now < node.unreached.0 {
         return Step::Nothing;
     }
+    // Of several that no worker reaches, each would take the others' parts.
+    let unsure = |o: &Owned| o.loaded && o.ledger.may_hear_nobody(now, &node.config);
+    let unsure = other && node.owned.values().any(unsure);
     let preferred = |p: PartId| members[p.0 as usize % members.len()];
     let partless = |m: &&MemberId| fresh(m).is_some_and(|d| d.fit && d.serving.is_empty());
     let mut best: Option<(bool, PartId)> = None;
@@ -233,7 +236,7 @@
             false if mine => free > GRACE / 2,
             false => free > GRACE && !members.iter().any(partless),
         };
-        if ready && best.is_none_or(|(m, _)| mine && !m) {
+        if ready && !unsure && best.is_none_or(|(m, _)| mine && !m) {
             best = Some((mine, p));
         }
     }
