--- a/crates/pulleywood/src/adopt.rs
+++ b/crates/pulleywood/src/adopt.rs
@@ -138,10 +138,16 @@
                     commit = commit.when(part_key(newcomer.part), owned.stamp);
                 }
             }
+            rack.fit(config.rack_bytes());
+            // Longer names than usual: the rest has its turn in another rack.
+            while rack.bytes() > config.rack_bytes()
+                && let Some(id) = ids.pop_last()
+            {
+                rack.machines.remove(&id);
+            }
             if ids.is_empty() {
                 break;
             }
-            rack.fit(config.rack_bytes());
             if fresh.0 > Term(0) {
                 let record = TermRecord { last: fresh.0 };
                 commit = commit.when(TERM, fresh.1).write(TERM, &record);
