--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -1162,11 +1162,14 @@
         const FEW: usize = 3;
         let mut known = 0;
         for machine in self.machines.values() {
-            let last = machine.heard.unwrap_or(machine.joined).max(machine.joined);
-            if now.since(last) < bound {
+            if machine.heard.is_some_and(|at| now.since(at) < bound) {
                 return false;
             }
-            known += usize::from(now.since(last) < config.lease * 2);
+            // One that joined lately shows nothing yet. When it counted as heard,
+            // machines moved in every few seconds hid for 40 s that no worker
+            // reached this owner.
+            let quiet = now.since(machine.heard.unwrap_or(machine.joined));
+            known += usize::from(quiet >= bound && quiet < config.lease * 2);
         }
         known >= FEW
     }
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -491,16 +491,19 @@
 
 #[test]
 fn an_owner_notices_that_no_worker_reaches_it() {
-    // (machines, those heard lately, seconds since the others were, noticed)
+    // (machines, those heard lately, seconds since the others were, machines
+    // that have just joined, noticed)
     let cases = [
-        ("all are heard", 4, 4, 0.0, false),
-        ("none for three reports", 4, 0, 3.5, true),
-        ("none for one report", 4, 0, 1.5, false),
-        ("one is heard", 4, 1, 5.0, false),
-        ("two machines may be gone", 2, 0, 5.0, false),
-        ("machines that are long gone", 4, 0, 60.0, false),
+        ("all are heard", 4, 4, 0.0, 0, false),
+        ("none for three reports", 4, 0, 3.5, 0, true),
+        ("none for one report", 4, 0, 1.5, 0, false),
+        ("one is heard", 4, 1, 5.0, 0, false),
+        ("two machines may be gone", 2, 0, 5.0, 0, false),
+        ("machines that are long gone", 4, 0, 60.0, 0, false),
+        ("others were moved in lately", 4, 0, 3.5, 2, true),
+        ("none but those moved in lately", 2, 0, 3.5, 2, false),
     ];
-    for (name, machines, heard, s, noticed) in cases {
+    for (name, machines, heard, s, joined, noticed) in cases {
         let mut b = Bench::new(&vec!["a"; machines]);
         for m in 0..machines {
             let report = b.report(m, 1, vec![]);
@@ -511,6 +514,11 @@
             let report = b.report(m, 2, vec![]);
             b.turn(&report, now);
         }
+        for m in machines..machines + joined {
+            let record = b.ledger.machines[&machine(0)].record.clone();
+            b.ledger
+                .put_machine(&machine(m), record, Stamp(7), false, at(now - 0.5));
+        }
         assert_eq!(b.ledger.hears_nobody(at(now), &b.config), noticed, "{name}");
         // Until it shows, other parts are not taken: four of five controllers
         // that no worker reached once handed parts to each other.
