--- a/crates/pulleywood/src/lib.rs
+++ b/crates/pulleywood/src/lib.rs
@@ -13,6 +13,7 @@
 mod intake;
 mod node;
 mod owner;
+mod pace;
 mod peers;
 pub mod policy;
 pub mod settings;
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::time_of_day_ms;
 use crate::node::{JobEntry, Node, Owned, Shared, read};
+use crate::pace;
 use hdrhistogram::Histogram;
 use pulleywood_core::ledger::{Offer, Started};
 use pulleywood_core::{PartLedger, grants};
@@ -524,24 +525,11 @@
 /// time: its reply is its report, and it then reports by itself.
 fn greet(shared: &Arc<Shared>, part: PartId, machines: Vec<(MachineId, String)>) {
     const AT_ONCE: usize = 3;
-    if machines.is_empty() {
-        return;
-    }
-    let queue = Arc::new(parking_lot::Mutex::new(machines));
-    for _ in 0..AT_ONCE {
-        let (shared, queue) = (Arc::clone(shared), Arc::clone(&queue));
-        let started = std::thread::Builder::new()
-            .name("greet".into())
-            .stack_size(128 * 1024)
-            .spawn(move || {
-                while let Some((id, endpoint)) = { queue.lock().pop() } {
-                    greet_one(&shared, part, &id, &endpoint);
-                }
-            });
-        if let Err(e) = started {
-            log::error!("cannot start a thread: {e}");
-        }
-    }
+    let shared = Arc::clone(shared);
+    let work = move |(id, endpoint): (MachineId, String)| {
+        greet_one(&shared, part, &id, &endpoint);
+    };
+    pace::few_at_a_time("greet", AT_ONCE, machines, work);
 }
 
 fn greet_one(shared: &Shared, part: PartId, id: &MachineId, endpoint: &str) {
