Do not write again what a rack had no room for

Found by reading: with images of 150 GB on a machine, a rack of 18 cannot name them all, so the records would differ from what is known for ever and be written every 5 s.

--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -1174,24 +1174,29 @@
         known >= FEW
     }
 
-    /// Records of machines whose images have changed since they were written.
+    /// Records of machines whose images have changed since they were written:
+    /// one of the newest is missing, or one that is gone is named. A record may
+    /// lack older ones, for which a rack had no room; written for them, it would
+    /// be so again and again.
     pub fn new_images(&self) -> Vec<(MachineId, MachineRecord)> {
+        const NEWEST: usize = 8;
+        let stale = |m: &Machine| {
+            let known = |name: &str| m.record.images.iter().any(|(n, _)| n == name);
+            let has = |name: &str| m.images.iter().any(|(n, _)| n == name);
+            m.images.iter().rev().take(NEWEST).any(|(n, _)| !known(n))
+                || m.record.images.iter().any(|(n, _)| !has(n))
+        };
         self.machines
             .iter()
             .filter(|(_, m)| m.confirmed && !m.leaving && !m.record.endpoint.is_empty())
-            .filter_map(|(id, m)| {
-                let known: BTreeSet<&str> =
-                    m.record.images.iter().map(|(n, _)| n.as_str()).collect();
-                let now: BTreeSet<&str> = m.images.iter().map(|(n, _)| n.as_str()).collect();
-                (known != now).then(|| {
-                    let mut record = m.record.clone();
-                    record.images = m
-                        .images
-                        .iter()
-                        .map(|(n, gb)| (n.clone(), Amount(*gb)))
-                        .collect();
-                    (id.clone(), record)
-                })
+            .filter(|(_, m)| stale(m))
+            .map(|(id, m)| {
+                let images = m.images.iter().map(|(n, gb)| (n.clone(), Amount(*gb)));
+                let record = MachineRecord {
+                    images: images.collect(),
+                    ..m.record.bare()
+                };
+                (id.clone(), record)
             })
             .collect()
     }
--- a/crates/pulleywood-core/tests/work.rs
+++ b/crates/pulleywood-core/tests/work.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use pulleywood_core::room::MOST_TASKS;
-use pulleywood_wire::cbor;
+use pulleywood_wire::cbor::{self, Amount};
 use pulleywood_wire::pack::Packs;
 use pulleywood_wire::worker::{Cause, ReportAnswer, TaskState};
 use pulleywood_wire::{Attempt, Stamp, TaskId, Term};
@@ -169,3 +169,27 @@
         assert!(config.rack_bytes() < bytes);
     }
 }
+
+#[test]
+fn images_that_a_rack_had_no_room_for_are_not_written_again() {
+    // (images of the machine, oldest first; of its record; written)
+    let cases = [
+        (0..3, 0..3, false),
+        (0..3, 0..2, true),
+        (0..12, 4..12, false),
+        (0..12, 5..12, true),
+        (0..12, 3..11, true),
+        (4..12, 0..12, true),
+    ];
+    for (has, record, written) in cases {
+        let mut b = Bench::new(&["a"]);
+        let report = b.report(0, 1, vec![]);
+        b.turn(&report, 1.0);
+        let m = b.ledger.machines.get_mut(&machine(0)).unwrap();
+        m.images = has.clone().map(|n| (format!("i{n}"), 1.0)).collect();
+        let named = record.clone().map(|n| (format!("i{n}"), Amount(1.0)));
+        m.record.images = named.collect();
+        let new = b.ledger.new_images();
+        assert_eq!(!new.is_empty(), written, "{has:?} {record:?}");
+    }
+}
--- a/crates/pulleywood-wire/src/rack.rs
+++ b/crates/pulleywood-wire/src/rack.rs
@@ -140,6 +140,9 @@
                 }
             }
             next.fit(limit);
+            if next == *rack {
+                continue;
+            }
             let key = rack_key(n);
             commit = commit.when(key.clone(), *stamp);
             if next.machines.is_empty() {
