Make plans anew for room and work, not for each report

Excluded: looks at machines (counted; few are left), which leaves the pass over a part's slots that each plan begins with.

--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -734,12 +734,13 @@
             };
             let keep = listed || maybe_coming;
             if !keep {
+                // What was cleared held no room any more.
+                changed |= slot.holds_room();
                 gone.push((slot.task.clone(), slot.attempt));
             }
             keep
         });
         for (task, attempt) in gone {
-            changed = true;
             self.requeue(&task, attempt);
         }
         if machine.slots.iter().any(Slot::holds_room) {
@@ -828,7 +829,7 @@
             machine.touch_image(&spec.image, spec.image_gb.0, cache_gb);
         }
         if !matches!(after, SlotState::Exited { .. }) {
-            return matches!(before, SlotState::Sent { .. });
+            return false;
         }
         match seen.cause {
             Some(Cause::Done) => {
--- a/crates/pulleywood-core/tests/work.rs
+++ b/crates/pulleywood-core/tests/work.rs
@@ -193,3 +193,40 @@
         assert_eq!(!new.is_empty(), written, "{has:?} {record:?}");
     }
 }
+
+#[test]
+fn a_plan_is_made_anew_for_room_and_work_not_for_each_report() {
+    // Three of four plans were made because a task fetched or was cleared.
+    // (what reports show of the one task; whether the last makes a plan)
+    let cases: [(&str, &[Option<TaskState>], bool); 5] = [
+        ("fetches", &[Some(TaskState::Fetching)], false),
+        ("runs at once", &[Some(TaskState::Running)], false),
+        ("is lost", &[None], true),
+        (
+            "is done",
+            &[Some(TaskState::Running), Some(TaskState::Exited)],
+            true,
+        ),
+        ("is cleared", &[Some(TaskState::Exited), None], false),
+    ];
+    for (name, reports, plans) in cases {
+        let mut b = Bench::new(&["a"]);
+        b.submit(spec(1, 1), false);
+        // Waits for another zone: each plan looks for room for it.
+        let mut other = spec(2, 1);
+        other.zone = Some("b".into());
+        b.submit(other, false);
+        let report = b.report(0, 1, vec![]);
+        let (task, attempt) = launches(&b.turn(&report, 1.0)).remove(0);
+        for (n, seen) in reports.iter().enumerate() {
+            let tasks = seen.iter().map(|seen| match seen {
+                TaskState::Exited => exited(&task, attempt, Cause::Done),
+                seen => state(&task, attempt, *seen),
+            });
+            let report = b.report(0, 2 + n as u64, tasks.collect());
+            b.ledger.looks = 0;
+            b.turn(&report, 1.1 + 0.1 * n as f64);
+        }
+        assert_eq!(b.ledger.looks > 0, plans, "{name}");
+    }
+}
