--- a/crates/pulleywood-wire/src/settings.rs
+++ b/crates/pulleywood-wire/src/settings.rs
@@ -168,7 +168,7 @@
     const OWN_THREADS: usize = 32;
     /// Connections that one peer's calls may leave behind, hung by the network,
     /// until they time out.
-    const PER_PEER: usize = 12;
+    const PER_PEER: usize = 32;
     /// Connections a MB of memory: one touches some tens of KB of its thread's
     /// stack and buffers, and most of the memory is for jobs and machines.
     const PER_MB: f64 = 6.0;
@@ -192,9 +192,9 @@
     /// users and the health check.
     const FEWEST: usize = 16;
 
-    /// The setting that leaves too few connections, if any does.
-    fn too_few(settings: &Settings) -> Option<&'static str> {
-        if Self::new(settings).connections >= Self::FEWEST {
+    /// The setting that leaves fewer connections than these, if any does.
+    pub fn too_few(settings: &Settings, fewest: usize) -> Option<&'static str> {
+        if Self::new(settings).connections >= fewest {
             return None;
         }
         let mut more = settings.clone();
@@ -290,7 +290,7 @@
                 "too few for values of cluster.state.value_kb and jobs of 100,000 tasks",
             );
         }
-        if let Some(field) = Bounds::too_few(self) {
+        if let Some(field) = Bounds::too_few(self, Bounds::FEWEST) {
             let path = format!("cluster.resources.{field}");
             return wrong(&path, "too few for the other controllers and some workers");
         }
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -27,6 +27,9 @@
 /// Share of the cloud's rate for reading machine types.
 const CLOUD_TYPES_SHARE: f64 = 0.1;
 
+/// Fewer connections than this serve a handful of machines only.
+const FEW_CONNECTIONS: usize = 64;
+
 /// Why a controller cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -101,6 +104,10 @@
             settings,
         });
         let bounds = Bounds::new(&shared.settings);
+        if let Some(field) = Bounds::too_few(&shared.settings, FEW_CONNECTIONS) {
+            let n = bounds.connections;
+            log::warn!("cluster.resources.{field} allows no more than {n} connections");
+        }
         let peer_listen = address(&shared.settings.cluster_listen)?;
         let io = |what: &str| {
             let what = what.to_owned();
