--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -1152,13 +1152,6 @@
         self.silent_for(bound, now, config)
     }
 
-    /// Whether that may be about to show: such an owner takes no other part,
-    /// which would wait here for nothing once more.
-    pub fn may_hear_nobody(&self, now: Moment, config: &Config) -> bool {
-        let bound = config.report.mul_f64(1.25) + Duration::from_millis(500);
-        self.silent_for(bound, now, config)
-    }
-
     fn silent_for(&self, bound: Duration, now: Moment, config: &Config) -> bool {
         const FEW: usize = 3;
         let mut known = 0;
@@ -1275,6 +1268,39 @@
     }
 }
 
+/// Whether workers reach an owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Some do, or there is nothing to tell by.
+    Some,
+    /// None has been heard for longer than a report interval: it may be about
+    /// to show that nobody does. Such an owner takes no other part, which would
+    /// wait there for nothing once more.
+    Unsure,
+    /// Nobody does.
+    Nobody,
+}
+
+/// Whether workers reach an owner of these parts. If those of one part do, the
+/// silence of another is not the owner's: its machines are cut off, or gone.
+pub fn reach<'a>(
+    parts: impl Iterator<Item = &'a PartLedger> + Clone,
+    now: Moment,
+    config: &Config,
+) -> Reach {
+    let soon = config.report.mul_f64(1.25) + Duration::from_millis(500);
+    let lately = |m: &Machine| m.heard.is_some_and(|at| now.since(at) < soon);
+    if parts.clone().flat_map(|p| p.machines.values()).any(lately) {
+        Reach::Some
+    } else if parts.clone().any(|p| p.hears_nobody(now, config)) {
+        Reach::Nobody
+    } else if parts.clone().any(|p| p.silent_for(soon, now, config)) {
+        Reach::Unsure
+    } else {
+        Reach::Some
+    }
+}
+
 /// What a record's loans bind to zones: this part's own, and others' by zone.
 fn bindings(record: &JobRecord, part: PartId) -> (BTreeMap<u32, String>, BTreeMap<String, u32>) {
     let (mut bound, mut away) = (BTreeMap::new(), BTreeMap::new());
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -4,7 +4,7 @@
 use crate::node::{JobEntry, Node, Owned, Shared, read};
 use crate::pace;
 use hdrhistogram::Histogram;
-use pulleywood_core::ledger::{Offer, Started};
+use pulleywood_core::ledger::{self, Offer, Reach, Started};
 use pulleywood_core::{PartLedger, grants};
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError, cloud};
@@ -200,16 +200,20 @@
     members.sort();
     // Workers that reach nobody here may reach another.
     let other = members.iter().any(|m| fresh(m).is_some_and(|d| d.fit));
-    let alone = |o: &Owned| o.loaded && !o.leaving && o.ledger.hears_nobody(now, &node.config);
-    if other && let Some((p, _)) = node.owned.iter().find(|(_, o)| alone(o)) {
+    let held = node.owned.values().filter(|o| o.loaded).map(|o| &o.ledger);
+    let reached = ledger::reach(held, now, &node.config);
+    let stays = |o: &Owned| o.loaded && !o.leaving;
+    if other
+        && reached == Reach::Nobody
+        && let Some((p, _)) = node.owned.iter().find(|(_, o)| stays(o))
+    {
         return Step::GiveUp(*p);
     }
     if now < node.unreached.0 {
         return Step::Nothing;
     }
     // Of several that no worker reaches, each would take the others' parts.
-    let unsure = |o: &Owned| o.loaded && o.ledger.may_hear_nobody(now, &node.config);
-    let unsure = other && node.owned.values().any(unsure);
+    let unsure = other && reached != Reach::Some;
     let preferred = |p: PartId| members[p.0 as usize % members.len()];
     let partless = |m: &&MemberId| fresh(m).is_some_and(|d| d.fit && d.serving.is_empty());
     let mut best: Option<(bool, PartId)> = None;
