--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -485,11 +485,34 @@
                 self.jobs.insert(id.clone(), job);
             }
         }
+        self.reattach(&id);
         // A record may hold all tasks as done if its last batch was split.
         self.dirty_jobs.insert(id);
         self.disturb();
     }
 
+    /// Tasks of a job that its machines showed before its record came, or before
+    /// its record gave them to this part, are on them until a report lacks them,
+    /// though they were told to stop: they neither start elsewhere nor are lent.
+    fn reattach(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for (machine_id, machine) in &mut self.machines {
+            for slot in machine.slots.iter_mut().filter(|s| s.task.job == *id) {
+                let i = slot.task.index;
+                let free = job.mine.contains(i) && !job.done.contains(i);
+                if slot.holds_room() && free && !job.active.contains_key(&i) {
+                    let active = (machine_id.clone(), slot.attempt);
+                    job.active.insert(i, active);
+                    job.round.get_or_insert(slot.attempt);
+                    job.waiting.remove(i);
+                    slot.spec = Some(Arc::clone(&job.spec));
+                }
+            }
+        }
+    }
+
     /// A job was accepted in a pack. One that is known has a record of its own
     /// by now, or is known from this pack.
     pub fn put_packed(
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -553,3 +553,26 @@
         assert_eq!(told, expected, "{since:?}");
     }
 }
+
+#[test]
+fn a_task_seen_before_its_job_is_known_starts_nowhere_else_until_it_is_gone() {
+    for (name, seen) in [
+        ("running", TaskState::Running),
+        ("saving", TaskState::Saving),
+    ] {
+        let mut b = Bench::new(&["a", "a"]);
+        let on = state(&task(1, 0), Attempt(7), seen);
+        let report = b.report(0, 1, vec![on.clone()]);
+        b.turn(&report, 1.0);
+        b.submit(spec(1, 2), false);
+        // Only the other task may start, here or by a loan.
+        let waiting = |b: &Bench| -> Vec<u32> {
+            let job = &b.ledger.jobs[&task(1, 0).job];
+            job.waiting.iter().collect()
+        };
+        assert_eq!(waiting(&b), [1], "{name}");
+        let report = b.report(0, 2, vec![]);
+        b.ledger.report(&report, false, at(2.0), &b.config);
+        assert_eq!(waiting(&b), [0, 1], "{name}");
+    }
+}
