Do not drop a machine that was just read for an older record

A rack's older change that came after, from before the machine was moved into the part, dropped it; the newer one then brought it back as a machine that holds nothing of the earlier owner's, and what ran there was free.

--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -595,8 +595,16 @@
                 owned
                     .ledger
                     .put_machine(id, record.clone(), stamp, false, now);
-            } else if owned.ledger.machines.contains_key(id) {
-                // Only this owner's own transaction moves it away, while idle.
+            } else if owned
+                .ledger
+                .machines
+                .get(id)
+                .is_some_and(|m| m.stamp < stamp)
+            {
+                // Only this owner's own transaction moves it away, while idle. A
+                // part that was just read may know a newer record than the watch:
+                // dropped for an older one, the machine would come back as one
+                // that holds nothing of the earlier owner's.
                 owned.ledger.drop_machine(id);
             }
         }
@@ -824,6 +832,35 @@
         }
     }
 
+    #[test]
+    fn a_machine_that_was_read_is_not_dropped_for_an_older_record() {
+        // (stamp of the part's record, of the watched one of another part, kept)
+        for (read, watched, kept) in [(50, 45, true), (50, 50, true), (50, 51, false)] {
+            let mut node = node();
+            taken(&mut node);
+            let id = MachineId::from("vm-1");
+            let record = |part| MachineRecord {
+                part: PartId(part),
+                term: Term(3),
+                flavor: "f".into(),
+                zone: "a".into(),
+                spot: false,
+                endpoint: "10.0.0.1:1".into(),
+                retiring: false,
+                images: vec![],
+            };
+            let ledger = &mut node.owned.get_mut(&PartId(0)).unwrap().ledger;
+            ledger.put_machine(&id, record(0), Stamp(read), true, at(10));
+            let rack = RackRecord {
+                machines: BTreeMap::from([(id.clone(), record(1))]),
+            };
+            node.put_rack(1, Some(rack), Stamp(watched), at(11));
+            let ledger = &node.owned[&PartId(0)].ledger;
+            let unheard = ledger.machines.get(&id).is_some_and(|m| m.unheard);
+            assert_eq!(unheard, kept, "{read} {watched}");
+        }
+    }
+
     #[test]
     fn a_part_whose_key_changed_is_no_longer_held() {
         for (stamp, held) in [(39, true), (40, true), (41, false)] {
