Judge failures by what a job does elsewhere; teams' shares by processors and GPUs

A failure counts against a machine once its job runs well elsewhere; a job that fails on three machines and runs on none is tried with one task at a time, and no room is rented, kept, lent or made for it.

Excluded: the processor (31 to 46% of the share), grants (no limits there), the queue within a team.

--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -19,6 +19,10 @@
             let Some(team) = config.teams.get(&job.spec.team) else {
                 continue;
             };
+            // Nothing is rented, moved, granted or lent for what fails everywhere.
+            if job.health.is_broken() {
+                continue;
+            }
             let count = job.waiting.len();
             if team.limited() {
                 let one = Room::of_task(&job.spec).slots();
@@ -27,7 +31,7 @@
                     add(sum, one);
                 }
             }
-            if now < job.held_until {
+            if job.health.is_held(now) {
                 continue;
             }
             self.add_demand(&mut demand, job);
@@ -49,7 +53,7 @@
     fn reserve(&self) -> Vec<Demand> {
         let mut largest: BTreeMap<&str, &Job> = BTreeMap::new();
         for job in self.jobs.values() {
-            if job.spec.shape != Shape::Service {
+            if job.spec.shape != Shape::Service || job.health.is_broken() {
                 continue;
             }
             let slot = largest.entry(&job.spec.class).or_insert(job);
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -10,6 +10,7 @@
 //! - attempts are never reused.
 
 use crate::config::Config;
+use crate::health::{Health, News};
 use crate::room::{Room, add};
 use pulleywood_wire::cbor::Amount;
 use pulleywood_wire::job::Shape;
@@ -72,12 +73,8 @@
     pub broken: bool,
     /// It may have been launched by an earlier owner.
     pub old: bool,
-    /// Machines on which it failed since it last succeeded anywhere.
-    pub failed_on: BTreeSet<MachineId>,
-    /// Errors since it last succeeded anywhere.
-    pub failures: u32,
-    /// Not launched before this.
-    pub held_until: Moment,
+    /// What its failures show.
+    pub health: Health,
     /// When this owner first saw it wait.
     pub seen: Moment,
 }
@@ -218,8 +215,9 @@
     pub images: VecDeque<(String, f64)>,
     /// Since when it holds no task.
     pub idle_since: Option<Moment>,
-    /// Jobs that failed here since one last completed.
-    pub failed_jobs: BTreeSet<JobId>,
+    /// Jobs that failed here and run well elsewhere, and since when that is
+    /// known. A task that was started here since and completes clears them.
+    pub failed_jobs: BTreeMap<JobId, Moment>,
     /// To be replaced.
     pub unfit: bool,
     /// Nothing is launched until then, so that it falls idle.
@@ -372,6 +370,9 @@
     pub looks: u64,
     attempts: u64,
     started: Vec<Started>,
+    /// Jobs that failed and have not been seen to run well since.
+    pub(crate) failing: BTreeSet<JobId>,
+    pub(crate) news: Vec<News>,
 }
 
 impl PartLedger {
@@ -393,6 +394,8 @@
             looks: 0,
             attempts: 0,
             started: Vec::new(),
+            failing: BTreeSet::new(),
+            news: Vec::new(),
         }
     }
 
@@ -475,9 +478,7 @@
                     round: None,
                     broken: false,
                     old,
-                    failed_on: BTreeSet::new(),
-                    failures: 0,
-                    held_until: Moment(0),
+                    health: Health::default(),
                     seen: now,
                 };
                 merge(&mut job, &done);
@@ -616,7 +617,7 @@
                     slots: Vec::new(),
                     images: record_images,
                     idle_since: None,
-                    failed_jobs: BTreeSet::new(),
+                    failed_jobs: BTreeMap::new(),
                     unfit: false,
                     drain_until: Moment(0),
                 };
@@ -845,6 +846,10 @@
             }
         }
         let (task, attempt) = (slot.task.clone(), slot.attempt);
+        let since = slot.since;
+        let ran = slot
+            .running_since
+            .map_or(Duration::ZERO, |at| now.since(at));
         let spec = slot.spec.clone();
         if let Some(spec) = &spec
             && matches!(after, SlotState::Running | SlotState::Exited { done: true })
@@ -856,10 +861,8 @@
         }
         match seen.cause {
             Some(Cause::Done) => {
-                machine.failed_jobs.clear();
+                machine.failed_jobs.retain(|_, at| *at > since);
                 if let Some(job) = self.jobs.get_mut(&task.job) {
-                    job.failures = 0;
-                    job.failed_on.clear();
                     // A replica that ends by itself is started again.
                     if job.spec.shape.completes() && task.index < job.spec.tasks {
                         job.waiting.remove(task.index);
@@ -872,27 +875,10 @@
                     }
                 }
             }
-            Some(Cause::Error | Cause::NoSuch) => {
+            Some(Cause::Error) => self.task_failed(&task.job, id, ran, now),
+            Some(Cause::NoSuch) => {
                 if let Some(job) = self.jobs.get_mut(&task.job) {
-                    job.failures += 1;
-                    job.failed_on.insert(id.clone());
-                    // One failure is the machine's; a job that fails on
-                    // several machines is held back, and blames none.
-                    let several = job.failed_on.len() >= 3;
-                    if several || seen.cause == Some(Cause::NoSuch) {
-                        let wait = 1u64 << job.failures.min(6);
-                        job.held_until = now + Duration::from_secs(wait);
-                    }
-                    if seen.cause == Some(Cause::Error) && !several {
-                        machine.failed_jobs.insert(task.job.clone());
-                    }
-                    if several {
-                        let id = &task.job;
-                        machine.failed_jobs.remove(id);
-                        for other in self.machines.values_mut() {
-                            other.failed_jobs.remove(id);
-                        }
-                    }
+                    job.health.hold(now);
                 }
             }
             _ => {}
@@ -1006,15 +992,12 @@
                     }
                 }
             }
-            if machine.failed_jobs.len() >= config.policy.sick_jobs as usize && !machine.unfit {
-                machine.unfit = true;
-                changed = true;
-            }
         }
         for (task, attempt) in gone {
             self.requeue(&task, attempt);
             changed = true;
         }
+        changed |= self.judge(now, config);
         if changed {
             self.disturb();
         }
@@ -1058,6 +1041,7 @@
                 job.may_be_lent()
                     && !job.waiting.is_empty()
                     && job.offered.is_empty()
+                    && !job.health.is_broken()
                     && !self.may_run_unseen(job)
                     && like.matches(&job.spec)
             })
--- a/crates/pulleywood-core/src/lib.rs
+++ b/crates/pulleywood-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod done;
 pub mod fleet;
 pub mod grants;
+pub mod health;
 pub mod home;
 pub mod ledger;
 pub mod place;
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -16,8 +16,14 @@
 
 /// Tasks of a job that begin when it has waited long enough.
 const FIRST: u32 = 8;
+/// And they come before other teams' work of the same rank after so many times
+/// as long.
+const LATE: f64 = 2.0;
 /// A task stopped for a higher rank makes room in about this many seconds.
 const YIELD_S: f64 = 6.0;
+/// Seconds of delay that are worth not taking all of a machine's processors from
+/// its GPUs.
+const STRANDED_S: f64 = 20.0;
 /// Most tasks of a job that one plan leaves for room which yields.
 const MOST_PASSED: u32 = 64;
 /// Most launches in one answer, which has a size too.
@@ -98,7 +104,18 @@
         } else {
             1.0 - self.pinned
         };
-        self.delay(spec) + bias + 10.0 * spread
+        self.delay(spec) + bias + 10.0 * spread + STRANDED_S * self.stranded(spec)
+    }
+
+    /// The share of this machine's GPUs that a task without one leaves without
+    /// processors: such work goes beside GPUs that are in use first.
+    fn stranded(&self, spec: &JobSpec) -> f64 {
+        if spec.gpus.0 > 0.0 || self.whole.gpus <= 0.0 || self.whole.cpus <= 0.0 {
+            return 0.0;
+        }
+        let gpus = self.free.gpus / self.whole.gpus;
+        let cpus = (self.free.cpus - spec.cpus.0) / self.whole.cpus;
+        (gpus - cpus).max(0.0)
     }
 
     fn take(&mut self, id: &JobId, index: u32, spec: &'a JobSpec) {
@@ -145,6 +162,8 @@
     most: u32,
     /// An earlier turn of the same plan may have placed some.
     again: bool,
+    /// It has waited so long to begin that its team's share counts no more.
+    late: bool,
 }
 
 /// Tasks a second that end on machines which have the job's image.
@@ -197,7 +216,11 @@
             if turn.worth == f64::INFINITY && !planner.kept {
                 planner.kept = planner.keep_room(turn.job);
             }
-            if !turn.again {
+            let queue = queues.get(turn.job.spec.team.as_str());
+            let alike = queue.into_iter().flatten().filter(|t| t.rank == turn.rank);
+            let waiting = alike.map(|t| t.job.waiting.len()).sum::<u32>();
+            planner.keep_share(&turn, waiting + turn.job.waiting.len());
+            if !turn.again && !turn.job.health.is_broken() {
                 unplaced.push(turn);
             }
         }
@@ -284,9 +307,10 @@
         let rebuilding = self.rebuilding();
         for (id, job) in &self.jobs {
             let unseen = rebuilding && self.may_run_unseen(job);
-            if job.waiting.is_empty() || now < job.held_until || unseen {
+            if job.waiting.is_empty() || job.health.is_held(now) || unseen {
                 continue;
             }
+            let age = now.since(self.submitted(job)).as_secs_f64();
             let turn = |worth, most, again| Turn {
                 id,
                 job,
@@ -295,13 +319,22 @@
                 at_ms: job.at_ms,
                 most,
                 again,
+                late: worth == f64::INFINITY && age > LATE * config.policy.patience_s,
             };
             let queue = queues.entry(&job.spec.team).or_default();
+            // What fails everywhere is tried with one task at a time, in its
+            // turn among others but never before its time.
+            if job.health.is_broken() {
+                if job.active.is_empty() {
+                    let worth = self.worth(job, now, config).min(1.0);
+                    queue.push(turn(worth, 1, false));
+                }
+                continue;
+            }
             // Nobody waits for ever to begin, however much comes in: large jobs
             // lose by worth to small ones, which kept some from their first
             // task for seven minutes.
             let begun = !job.active.is_empty() || !job.done.is_empty();
-            let age = now.since(self.submitted(job)).as_secs_f64();
             let first = !begun && age > config.policy.patience_s;
             if first && job.spec.shape == Shape::Gang {
                 queue.push(turn(f64::INFINITY, u32::MAX, false));
@@ -364,12 +397,16 @@
     coming: BTreeSet<usize>,
     smallest: Room,
     used: BTreeMap<String, Slots>,
+    /// All machines' room.
+    whole: Room,
     /// Lowest rank that holds room, and teams that do.
     lowest: Option<Rank>,
     holders: Vec<&'a str>,
     ahead: u32,
     /// A machine's room was kept for a job that fits nowhere.
     kept: bool,
+    /// Teams for which a share was kept.
+    shared: Vec<&'a str>,
     /// Machines looked at for jobs.
     looks: std::cell::Cell<u64>,
 }
@@ -399,10 +436,17 @@
                 }
             }
         }
+        let mut whole = Room::default();
+        for machine in ledger.machines.values() {
+            if let Some(flavor) = config.flavors.get(&machine.record.flavor) {
+                whole += Room::of_flavor(flavor);
+            }
+        }
         let mut planner = Planner {
             ledger,
             config,
             now,
+            whole,
             open: (0..sites.len()).collect(),
             coming: (0..sites.len())
                 .filter(|&at| sites[at].coming != Room::default())
@@ -414,6 +458,7 @@
             holders,
             ahead: 0,
             kept: false,
+            shared: Vec::new(),
             looks: std::cell::Cell::new(0),
         };
         planner.close_full();
@@ -441,24 +486,38 @@
     }
 
     /// The team whose turn it is: work within a guarantee first, then rank,
-    /// then the least use for its weight.
+    /// then what has waited for very long to begin, then the least use for its
+    /// weight.
     fn next_team<'q>(&self, queues: &BTreeMap<&'q str, Vec<Turn<'_>>>) -> Option<&'q str> {
         queues
             .iter()
             .filter_map(|(name, queue)| {
                 let turn = queue.last()?;
-                let mut with = self.ledger.everywhere(name, &self.used);
                 let team = self.config.teams.get(*name);
-                let weight = team.map_or(1.0, |t| t.weight).max(1e-6);
-                let load = (with.gpus.0 * 1000.0 + with.cpus.0) / weight;
+                let mut with = self.ledger.everywhere(name, &self.used);
+                let load = self.load(name, with);
                 add(&mut with, Room::of_task(&turn.job.spec).slots());
                 let within = team.is_some_and(|t| t.guarantees(with));
-                Some((within, turn.rank, load, *name))
+                Some(((within, turn.rank, turn.late), load, *name))
             })
-            .max_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(b.2.total_cmp(&a.2)))
+            .max_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)))
             .map(|(.., name)| name)
     }
 
+    /// What a team uses for its weight: the larger of its shares of processors
+    /// and of GPUs. Counted in GPUs first, a team that uses none had the least
+    /// whatever else it held, and took each processor that came free until the
+    /// GPUs beside them were of no use to anybody.
+    fn load(&self, team: &str, used: Slots) -> f64 {
+        let weight = self.config.teams.get(team).map_or(1.0, |t| t.weight);
+        let used = Room {
+            cpus: used.cpus.0,
+            gpus: used.gpus.0,
+            memory_gb: 0.0,
+        };
+        used.share_of(&self.whole) / weight.max(1e-6)
+    }
+
     /// Whether the part's grant lets the team take these slots too.
     fn granted(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>) -> bool {
         let Some(team) = self.config.teams.get(&spec.team) else {
@@ -478,10 +537,42 @@
     /// and fits nowhere: as tasks end there, its room grows until a task fits.
     /// Without it, smaller tasks would take each piece that comes free.
     fn keep_room(&mut self, job: &Job) -> bool {
+        self.keep_sites(job, 1) > 0
+    }
+
+    /// Keeps room in the same way for a team whose turn it was, as much as is
+    /// its share beside a team with smaller tasks that holds more than it. Only
+    /// where nothing may be stopped for it: what may is stopped instead.
+    fn keep_share(&mut self, turn: &Turn<'a>, waiting: u32) {
+        let spec: &'a JobSpec = &turn.job.spec;
+        let alone = self.holders.iter().all(|team| *team == spec.team);
+        if alone || turn.job.health.is_broken() || self.shared.contains(&spec.team.as_str()) {
+            return;
+        }
+        self.shared.push(&spec.team);
+        let beyond = self.beyond(spec, &self.used);
+        if self.may_stop(spec, &beyond) {
+            return;
+        }
+        let load = |team: &str| self.load(team, self.ledger.everywhere(team, &self.used));
+        let mine = load(&spec.team);
+        let most = self.holders.iter().map(|team| load(team));
+        let lead = most.fold(0.0, f64::max) - mine;
+        let task = self.load(&spec.team, Room::of_task(spec).slots());
+        if lead > 0.0 && task > 0.0 {
+            // What one gains the other loses.
+            let due = (lead / task / 2.0).floor() as usize;
+            self.keep_sites(turn.job, due.min(waiting as usize));
+        }
+    }
+
+    /// Keeps what is free on machines nearest to having room for a task of a
+    /// job, up to so many; on how many it was done.
+    fn keep_sites(&mut self, job: &Job, most: usize) -> usize {
         let need = Room::of_task(&job.spec);
         let zones = self.ledger.by_zone(job);
         let Some(index) = job.waiting.iter().next() else {
-            return false;
+            return 0;
         };
         let lasting = |site: &Site<'_>| {
             let mut room = site.whole;
@@ -493,24 +584,24 @@
             }
             room
         };
-        let best = self
-            .sites
-            .iter_mut()
-            .filter(|s| {
+        let mut near: Vec<(f64, &MachineId, usize)> = (0..self.sites.len())
+            .map(|at| (at, &self.sites[at]))
+            .filter(|(_, s)| {
                 s.allows(&job.spec)
-                    && !job.failed_on.contains(s.id)
+                    && !job.health.avoids(s.id, self.now)
                     && zone_allows(job, &zones, index, s.zone)
                     && lasting(s).fits(&need)
             })
-            .min_by(|a, b| {
-                let used = |s: &Site<'_>| s.free.used_of(&s.whole);
-                used(a).total_cmp(&used(b)).then(a.id.cmp(b.id))
-            });
-        let Some(site) = best else {
-            return false;
-        };
-        site.free = Room::default();
-        true
+            .map(|(at, s)| (s.free.used_of(&s.whole), s.id, at))
+            .collect();
+        near.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        near.truncate(most);
+        let kept: Vec<usize> = near.into_iter().map(|(.., at)| at).collect();
+        for &at in &kept {
+            self.sites[at].free = Room::default();
+        }
+        self.open.retain(|at| !kept.contains(at));
+        kept.len()
     }
 
     /// Sites with room for one more task of a job, and what it costs there.
@@ -519,7 +610,7 @@
         self.looks.set(self.looks.get() + self.open.len() as u64);
         let fit = |at: &&usize| {
             let site = &self.sites[**at];
-            site.free.fits(need) && site.allows(spec) && !job.failed_on.contains(site.id)
+            site.free.fits(need) && site.allows(spec) && !job.health.avoids(site.id, self.now)
         };
         let cost = |at: &usize| (self.sites[*at].cost(spec, self.config), *at);
         self.open.iter().filter(fit).map(cost).collect()
@@ -629,7 +720,7 @@
             if zones.contains(site.zone)
                 || site.delay(spec) > 0.0
                 || !site.allows(spec)
-                || job.failed_on.contains(site.id)
+                || job.health.avoids(site.id, self.now)
             {
                 continue;
             }
@@ -695,8 +786,9 @@
         let offer = |planner: &Self, at: usize, beyond: &BTreeSet<&str>| {
             let site = &planner.sites[at];
             planner.looks.set(planner.looks.get() + 1);
-            let fits =
-                site.allows(spec) && !job.failed_on.contains(site.id) && site.whole.fits(&need);
+            let fits = site.allows(spec)
+                && !job.health.avoids(site.id, planner.now)
+                && site.whole.fits(&need);
             let (loss, victims) = fits
                 .then(|| planner.victims(site, spec, &need, beyond, stops))
                 .flatten()?;
--- /dev/null
+++ b/crates/pulleywood-core/tests/health.rs
@@ -0,0 +1,155 @@
+//! Jobs that fail everywhere, and machines that fail everything.
+
+mod common;
+
+use common::{Bench, at, exited, machine, state};
+use pulleywood_core::health::News;
+use pulleywood_wire::cbor::Amount;
+use pulleywood_wire::worker::{Cause, Order, TaskState};
+use pulleywood_wire::{Attempt, JobId, JobSpec, TaskId};
+use std::collections::BTreeSet;
+
+/// Workers that run what they are told, or fail it at once.
+struct Workers {
+    bench: Bench,
+    seq: u64,
+    on: Vec<Vec<(TaskId, Attempt, TaskState)>>,
+    /// Launches by second: machine and task.
+    launched: Vec<(u64, usize, TaskId)>,
+    news: Vec<News>,
+}
+
+impl Workers {
+    fn new(machines: usize) -> Workers {
+        Workers {
+            bench: Bench::new(&vec!["a"; machines]),
+            seq: 0,
+            on: vec![Vec::new(); machines],
+            launched: Vec::new(),
+            news: Vec::new(),
+        }
+    }
+
+    /// One second, in which each machine reports once.
+    fn second(&mut self, s: u64, fails: impl Fn(usize, &JobId) -> bool) {
+        self.seq += 1;
+        for m in 0..self.on.len() {
+            let tasks = self.on[m].iter().map(|(t, a, how)| match how {
+                TaskState::Exited => exited(t, *a, Cause::Error),
+                how => state(t, *a, *how),
+            });
+            let report = self.bench.report(m, self.seq, tasks.collect());
+            for order in self.bench.turn(&report, s as f64) {
+                match order {
+                    Order::Launch { leg, attempt } => {
+                        let how = match fails(m, &leg.job) {
+                            true => TaskState::Exited,
+                            false => TaskState::Running,
+                        };
+                        self.launched.push((s, m, leg.clone()));
+                        self.on[m].push((leg, attempt, how));
+                    }
+                    Order::Halt { leg, attempt, .. } | Order::Clear { leg, attempt } => {
+                        self.on[m].retain(|(t, a, _)| (t, a) != (&leg, &attempt));
+                    }
+                }
+            }
+        }
+        self.bench
+            .ledger
+            .tick(at(s as f64 + 0.5), &self.bench.config);
+        self.news.extend(self.bench.ledger.take_news());
+    }
+
+    fn launches_of(&self, job: &JobId, from: u64) -> usize {
+        let of = |l: &&(u64, usize, TaskId)| l.2.job == *job && l.0 >= from;
+        self.launched.iter().filter(of).count()
+    }
+}
+
+/// A job whose tasks need no image.
+fn spec(n: u64, tasks: u32) -> JobSpec {
+    JobSpec {
+        image_gb: Amount(0.0),
+        ..common::spec(n, tasks)
+    }
+}
+
+fn id(n: u64) -> JobId {
+    JobId::parse(&format!("j-{n}")).unwrap()
+}
+
+#[test]
+fn broken_jobs_blame_no_machine_and_take_nothing_from_others() {
+    // (tasks of each of three broken jobs); several at once have all failed on
+    // the same machine before any of them has failed on enough of them.
+    for tasks in [1, 2, 30] {
+        let mut w = Workers::new(6);
+        for n in 1..=3 {
+            w.bench.submit(spec(n, tasks), false);
+        }
+        let broken: BTreeSet<JobId> = (1..=3).map(id).collect();
+        for s in 1..=120 {
+            w.second(s, |_, job| broken.contains(job));
+            assert!(w.bench.ledger.machines.values().all(|m| !m.unfit), "{s} s");
+            if s >= 10 {
+                // No room is rented, kept or moved for them.
+                let digest = w.bench.ledger.digest(at(s as f64), &w.bench.config);
+                assert!(digest.demand.is_empty(), "{s} s: {:?}", digest.demand);
+            }
+            if s == 60 {
+                w.bench.submit(spec(9, 20), false);
+            }
+        }
+        // Others start as if they were not there.
+        assert_eq!(w.launches_of(&id(9), 60), 20);
+        assert!(w.launched.iter().all(|l| l.2.job != id(9) || l.0 <= 61));
+        for job in &broken {
+            // Tried now and then, with one task.
+            let tries = w.launches_of(job, 12);
+            assert!(tries <= 10, "{tries} tries");
+            let first = w.launches_of(job, 0) - tries;
+            // Each task on three machines at most before that.
+            assert!(first <= tasks as usize * 3, "{first} launches at first");
+            assert!(w.bench.ledger.jobs.contains_key(job), "{job} is known");
+        }
+        // Mended by its user, it runs whole again.
+        for s in 121..=400 {
+            w.second(s, |_, job| broken.contains(job) && *job != id(1));
+        }
+        let tries: Vec<_> = w.launched.iter().filter(|l| l.2.job == id(1)).collect();
+        assert!(
+            w.news.contains(&News::Runs(id(1))),
+            "{tasks} tasks: {tries:?}"
+        );
+        let active = w.bench.ledger.jobs[&id(1)].active.len();
+        assert_eq!(active, (tasks as usize).min(4), "all that fit");
+    }
+}
+
+#[test]
+fn a_sick_machine_is_found_beside_broken_jobs() {
+    // (sick machines, tasks of a job, broken jobs beside)
+    for (sick, tasks, broken) in [(1, 1, 0), (1, 8, 3), (3, 8, 3), (3, 1, 2)] {
+        let mut w = Workers::new(8);
+        let bad: BTreeSet<JobId> = (50..50 + broken).map(id).collect();
+        for n in 50..50 + broken {
+            w.bench.submit(spec(n, 4), false);
+        }
+        for s in 1..=240 {
+            if s % 12 == 0 {
+                let mut job = spec(100 + s, tasks);
+                job.gpus = Amount(0.5);
+                job.cpus = Amount(0.5);
+                job.memory_gb = Amount(0.1);
+                w.bench.submit(job, false);
+            }
+            w.second(s, |m, job| m < sick || bad.contains(job));
+        }
+        let unfit: Vec<usize> = (0..8)
+            .filter(|m| w.bench.ledger.machines[&machine(*m)].unfit)
+            .collect();
+        let expected: Vec<usize> = (0..sick).collect();
+        assert_eq!(unfit, expected, "{tasks} tasks, {broken} broken");
+    }
+}
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -4,6 +4,7 @@
 use crate::node::{JobEntry, Node, Owned, Shared, read};
 use crate::pace;
 use hdrhistogram::Histogram;
+use pulleywood_core::health::News;
 use pulleywood_core::ledger::{self, Offer, Reach, Started};
 use pulleywood_core::{PartLedger, grants};
 use pulleywood_net::state::Outcome;
@@ -695,14 +696,17 @@
     loop {
         std::thread::sleep(Duration::from_millis(200));
         let now = shared.clock.now();
+        let mut news = Vec::new();
         let parts: Vec<(PartId, bool)> = {
             let mut node = shared.node.lock();
             let config = Arc::clone(&node.config);
             for owned in node.owned.values_mut().filter(|o| o.loaded) {
                 owned.ledger.tick(now, &config);
                 waits.add(owned.ledger.take_started());
+                news.extend(owned.ledger.take_news());
             }
             waits.log(now);
+            tell(news);
             if !node.may_act(now) {
                 continue;
             }
@@ -723,6 +727,20 @@
     }
 }
 
+/// Logs what was learnt of jobs and machines.
+fn tell(news: Vec<News>) {
+    for news in news {
+        match news {
+            News::Broken(id) => {
+                log::info!("{id} fails on several machines and runs on none: held back");
+            }
+            News::Runs(id) => log::info!("{id} runs after all: no longer held back"),
+            News::Unfit(id) => log::info!("{id} fails jobs that run elsewhere: to be replaced"),
+            News::Fit(id) => log::info!("{id} runs again what it failed: kept"),
+        }
+    }
+}
+
 const IMAGES_EVERY: Duration = Duration::from_secs(5);
 
 /// Writes which images machines have, when nothing more urgent needs the
