--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -40,8 +40,8 @@
     pub tasks: Vec<u32>,
     /// Chunks written.
     pub chunks: BTreeSet<u32>,
-    /// All its tasks are done.
-    pub over: bool,
+    /// Its final state, if all its tasks are done.
+    pub over: Option<OverRecord>,
 }
 
 /// How much a job's done tasks want to be recorded.
@@ -133,7 +133,7 @@
                 .iter()
                 .filter(|&i| !job.committed.contains(i))
                 .collect();
-            let over = job.over();
+            let over = job.over().then(|| over_record(job, JobStatus::Done));
             let mut chunks: BTreeSet<u32> = tasks.iter().map(|i| i / config.chunk).collect();
             if job.touch {
                 chunks.insert(0);
@@ -145,12 +145,12 @@
                 (true, None) => continue,
             };
             // Its first record of its own holds the first chunk.
-            if pack.is_some() && !over {
+            if pack.is_some() && over.is_none() {
                 chunks.insert(0);
             }
             let new_pack = pack.is_some_and(|n| !touched.contains(&n));
             let ops = usize::from(new_pack)
-                + match (over, pack) {
+                + match (over.is_some(), pack) {
                     (true, Some(_)) => 1,
                     (true, None) => 2 + job.chunk_stamps.len(),
                     (false, _) => chunks.len(),
@@ -168,13 +168,13 @@
             let key = job_key(id.part(config.parts), id);
             let stamp = if pack.is_some() { Stamp(0) } else { job.stamp };
             commit = commit.when(key.clone(), stamp);
-            if over {
+            if let Some(over) = &over {
                 if pack.is_none() {
                     commit = commit.delete(key);
                 }
                 commit = commit
                     .when(over_key(id), Stamp(0))
-                    .write(over_key(id), &over_record(job, JobStatus::Done));
+                    .write(over_key(id), over);
                 for (&chunk, &stamp) in &job.chunk_stamps {
                     let key = chunk_key(id.part(config.parts), id, chunk);
                     commit = commit.when(key.clone(), stamp).delete(key);
@@ -212,7 +212,7 @@
     /// A batch was committed: its tasks may be cleared from now on.
     pub fn batch_applied(&mut self, batch: &Batch, stamp: Stamp) {
         for done in &batch.jobs {
-            if done.over {
+            if done.over.is_some() {
                 self.drop_job(&done.id);
                 continue;
             }
--- a/crates/pulleywood/src/desk.rs
+++ b/crates/pulleywood/src/desk.rs
@@ -53,6 +53,11 @@
         self.state.lock().waiting.is_empty()
     }
 
+    /// How many things wait.
+    pub fn len(&self) -> usize {
+        self.state.lock().waiting.len()
+    }
+
     /// Leaves a thing, if it may join those that wait, and waits.
     pub fn join(
         &self,
@@ -104,6 +109,12 @@
         std::mem::replace(&mut state.waiting, rest)
     }
 
+    /// Tells one what became of its thing.
+    pub fn tell_one(&self, ticket: u64, verdict: V) {
+        self.state.lock().verdicts.insert(ticket, verdict);
+        self.told.notify_all();
+    }
+
     /// Tells some what became of their things.
     pub fn tell(&self, tickets: impl IntoIterator<Item = u64>, verdict: impl Fn() -> V) {
         let mut state = self.state.lock();
--- a/crates/pulleywood/src/intake.rs
+++ b/crates/pulleywood/src/intake.rs
@@ -5,10 +5,10 @@
 use crate::follow;
 use crate::node::Shared;
 use pulleywood_net::{Class, StateError};
-use pulleywood_wire::Stamp;
 use pulleywood_wire::pack::{PackHead, PackRecord};
 use pulleywood_wire::record::{HEAD, JobRecord, job_key, over_key, pack_key};
 use pulleywood_wire::state::Commit;
+use pulleywood_wire::{PartId, Stamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,9 +79,21 @@
     let intake = &shared.intake;
     loop {
         intake.wait();
-        // Whoever comes until there are tokens is taken along.
-        let tokens = shared.state.take(Class::Pack, 2);
-        let waiting = intake.take(usize::MAX);
+        // Whoever comes until there are tokens is taken along. One alone needs
+        // no pack, which is two writes: between bursts most packs held one job,
+        // and the second token took half a second to come.
+        let mut tokens = shared.state.take(Class::Pack, 1);
+        let several = intake.len() > 1;
+        if several && tokens.is_ok() {
+            tokens = shared.state.take(Class::Pack, 1);
+        }
+        let mut waiting = intake.take(usize::MAX);
+        if tokens.is_ok() && !several {
+            match waiting.len() {
+                1 => waiting = write_alone(shared, waiting),
+                _ => tokens = shared.state.take(Class::Pack, 1),
+            }
+        }
         match tokens {
             Ok(()) => write_pack(shared, waiting),
             Err(e) => {
@@ -97,7 +109,59 @@
     }
 }
 
+/// Accepts one job in a record of its own, with tokens taken before.
+pub fn write_one(shared: &Shared, part: PartId, record: &JobRecord, head: Stamp) -> Verdict {
+    let id = &record.spec.id;
+    let key = job_key(part, id);
+    let commit = Commit::default()
+        .when(HEAD, head)
+        .when(key.clone(), Stamp(0))
+        .when(over_key(id), Stamp(0))
+        .write(key, record);
+    match shared.state.commit_paid(&commit) {
+        Ok(Ok(stamp)) => {
+            let now = shared.clock.now();
+            shared.node.lock().put_job(record, stamp, now);
+            let (tasks, team) = (record.spec.tasks, &record.spec.team);
+            log::debug!("accepted {id}: {tasks} tasks of {team}");
+            Verdict::Accepted
+        }
+        // A pack was written meanwhile, perhaps with this very job.
+        Ok(Err(failed)) if failed.iter().all(|key| key == HEAD) => {
+            Verdict::Refused(StateError::Budget(Duration::from_secs(1)))
+        }
+        Ok(Err(_)) => Verdict::Known,
+        Err(e) => Verdict::Refused(e),
+    }
+}
+
+/// Accepts the one submission that waits; what is left if others wrote packs
+/// meanwhile.
+fn write_alone(shared: &Shared, waiting: BTreeMap<u64, Waiting>) -> BTreeMap<u64, Waiting> {
+    for (ticket, Waiting { record, .. }) in &waiting {
+        let id = &record.spec.id;
+        let (known, head, parts) = {
+            let node = shared.node.lock();
+            (node.is_live(id), node.view.head.1, node.config.parts)
+        };
+        let verdict = match known {
+            true => Verdict::Known,
+            false => write_one(shared, id.part(parts), record, head),
+        };
+        if matches!(verdict, Verdict::Refused(StateError::Budget(_)))
+            && shared.state.take(Class::Pack, 2).is_ok()
+        {
+            return waiting;
+        }
+        shared.intake.tell_one(*ticket, verdict);
+    }
+    BTreeMap::new()
+}
+
 fn write_pack(shared: &Arc<Shared>, mut waiting: BTreeMap<u64, Waiting>) {
+    if waiting.is_empty() {
+        return;
+    }
     let intake = &shared.intake;
     for attempt in 0..TRIES {
         // The watch gathers changes, and at a burst others write their packs
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -804,15 +804,23 @@
             }
             for job in &batch.jobs {
                 match job.over {
-                    true => node.end_job(&job.id, stamp),
-                    false => node.own_record(&job.id),
+                    Some(_) => node.end_job(&job.id, stamp),
+                    None => node.own_record(&job.id),
                 }
             }
             node.left_packs(batch.packs, stamp, now);
             drop(node);
             for job in &batch.jobs {
                 let (id, n) = (&job.id, job.tasks.len());
-                let all = if job.over { ", all of them" } else { "" };
+                if let Some(over) = &job.over {
+                    // Its user asks next; the answer needs no read.
+                    shared.finals.lock().put(id, over.clone());
+                }
+                let all = if job.over.is_some() {
+                    ", all of them"
+                } else {
+                    ""
+                };
                 log::debug!("part {part}: {n} tasks of {id} done{all}");
             }
         }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -13,7 +13,7 @@
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::job::JobAnswer;
 use pulleywood_wire::record::{
-    ChunkRecord, HEAD, JobRecord, Key, OverRecord, TaskSet, job_key, over_key,
+    ChunkRecord, JobRecord, Key, OverRecord, TaskSet, job_key, over_key,
 };
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{JobId, JobSpec, JobStatus, PartId, Rank, Stamp, cbor};
@@ -217,30 +217,10 @@
         }
         node.view.head.1
     };
-    let key = job_key(part, id);
-    let commit = Commit::default()
-        .when(HEAD, head)
-        .when(key.clone(), Stamp(0))
-        .when(over_key(id), Stamp(0))
-        .write(key, record);
     if let Err(e) = shared.state.take(class, 1) {
         return Verdict::Refused(e);
     }
-    match shared.state.commit_paid(&commit) {
-        Ok(Ok(stamp)) => {
-            let now = shared.clock.now();
-            shared.node.lock().put_job(record, stamp, now);
-            let (tasks, team) = (record.spec.tasks, &record.spec.team);
-            log::debug!("accepted {id}: {tasks} tasks of {team}");
-            Verdict::Accepted
-        }
-        // A pack was written meanwhile, perhaps with this very job.
-        Ok(Err(failed)) if failed.iter().all(|key| key == HEAD) => {
-            Verdict::Refused(StateError::Budget(Duration::from_secs(1)))
-        }
-        Ok(Err(_)) => Verdict::Known,
-        Err(e) => Verdict::Refused(e),
-    }
+    intake::write_one(shared, part, record, head)
 }
 
 /// `GET /v2/runs/{id}`
