--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -5,7 +5,7 @@
 use common::*;
 use pulleywood_wire::settings::Objective;
 use pulleywood_wire::worker::{Cause, Order, TaskState};
-use pulleywood_wire::{JobSpec, Rank, Shape};
+use pulleywood_wire::{JobSpec, Rank, Shape, Stamp};
 
 #[test]
 fn tasks_go_only_where_their_job_allows() {
@@ -301,3 +301,131 @@
     let begun = begun.expect("the wide task never began");
     assert!((60..100).contains(&begun), "{begun}");
 }
+
+/// A job of the other team whose tasks need no GPU and no image.
+fn no_gpus(n: u64, tasks: u32, cpus: f64) -> JobSpec {
+    let mut job = spec(n, tasks);
+    job.team = "blue".into();
+    job.image_gb.0 = 0.0;
+    (job.cpus.0, job.gpus.0, job.memory_gb.0) = (cpus, 0.0, 1.0);
+    job
+}
+
+#[test]
+fn teams_take_turns_by_the_larger_of_their_shares() {
+    // (processors of a task without GPUs, weight of its team; tasks of each
+    // team that are launched). Counted in GPUs alone, the team that uses none
+    // would get every turn.
+    for (cpus, weight, red, blue) in [(4.0, 1.0, 8, 8), (8.0, 1.0, 8, 4), (4.0, 3.0, 4, 12)] {
+        let mut b = Bench::new(&["a", "a", "a", "a"]);
+        b.ledger.day_offset_ms = at(0.0).0 as i64;
+        b.config.teams.get_mut("blue").unwrap().weight = weight;
+        b.submit(spec(1, 100), false);
+        b.submit(no_gpus(2, 100, cpus), false);
+        let reports: Vec<_> = (0..4).map(|m| b.report(m, 1, vec![])).collect();
+        for report in &reports {
+            b.ledger.report(report, false, at(1.0), &b.config);
+        }
+        let mut launched = Vec::new();
+        for report in &reports {
+            let orders = b.ledger.answer(&report.machine, true, at(1.0), &b.config);
+            launched.extend(launches(&orders));
+        }
+        let of = |n: u64| {
+            let of = |(t, _): &&(pulleywood_wire::TaskId, _)| t.job == task(n, 0).job;
+            launched.iter().filter(of).count()
+        };
+        assert_eq!((of(1), of(2)), (red, blue), "{cpus} processors, {weight}");
+    }
+}
+
+#[test]
+fn work_without_gpus_goes_beside_gpus_in_use() {
+    // m0 runs tasks that take GPUs and few processors, m1 some that take
+    // processors alone and is fuller.
+    let mut b = Bench::new(&["a", "b"]);
+    let mut light = spec(1, 2);
+    (light.cpus.0, light.image_gb.0) = (1.0, 0.0);
+    let mut taken = Vec::new();
+    let zones = ["a", "b"];
+    for (m, mut job) in [(0, light), (1, no_gpus(2, 2, 6.0))] {
+        job.zone = Some(zones[m].to_owned());
+        b.submit(job, false);
+        let report = b.report(m, 1, vec![]);
+        taken.push(launches(&b.turn(&report, 1.0)));
+    }
+    assert_eq!((taken[0].len(), taken[1].len()), (2, 2));
+    b.submit(no_gpus(3, 1, 4.0), false);
+    for m in 0..2 {
+        let running = taken[m].iter();
+        let tasks = running.map(|(t, a)| state(t, *a, TaskState::Running));
+        let report = b.report(m, 2, tasks.collect());
+        let launched = launches(&b.turn(&report, 3.0));
+        assert_eq!(launched.len(), usize::from(m == 0), "m{m}");
+    }
+}
+
+#[test]
+fn smaller_tasks_do_not_keep_a_team_from_its_share() {
+    // Tasks of a quarter of a machine hold all of two; half of one is due to
+    // the other team, whose tasks take half.
+    let mut b = Bench::new(&["a", "a"]);
+    b.submit(no_gpus(1, 100, 4.0), false);
+    let mut on = Vec::new();
+    for m in 0..2 {
+        let report = b.report(m, 1, vec![]);
+        on.push(launches(&b.turn(&report, 1.0)));
+        assert_eq!(on[m].len(), 4);
+    }
+    let mut large = spec(2, 10);
+    (large.cpus.0, large.image_gb.0) = (8.0, 0.0);
+    b.submit(large, false);
+    let mut begun = 0;
+    for seq in 2..=12 {
+        for (m, on) in on.iter_mut().enumerate() {
+            // A small task ends here every second time.
+            let small = on.iter().position(|(t, _)| t.job == task(1, 0).job);
+            let ended = small.filter(|_| (seq + m as u64) % 2 == 0);
+            let ended = ended.map(|at| on.remove(at));
+            let running = on.iter();
+            let mut tasks: Vec<_> = running
+                .map(|(t, a)| state(t, *a, TaskState::Running))
+                .collect();
+            tasks.extend(ended.iter().map(|(t, a)| exited(t, *a, Cause::Done)));
+            let report = b.report(m, seq, tasks);
+            on.extend(launches(&b.turn(&report, seq as f64 * 2.0)));
+            begun = on
+                .iter()
+                .filter(|(t, _)| t.job == task(2, 0).job)
+                .count()
+                .max(begun);
+        }
+    }
+    let large = on.iter().flatten().filter(|(t, _)| t.job == task(2, 0).job);
+    assert_eq!(large.count(), 2, "half of the processors");
+    assert!(begun <= 2, "and no more than that: {begun}");
+}
+
+#[test]
+fn a_job_that_waits_for_very_long_begins_though_its_team_has_its_share() {
+    for (s, begun) in [(100.0, false), (125.0, true)] {
+        let mut b = Bench::new(&["a"]);
+        b.ledger.day_offset_ms = at(0.0).0 as i64;
+        b.submit(no_gpus(1, 3, 4.0), false);
+        let report = b.report(0, 1, vec![]);
+        let running = launches(&b.turn(&report, 1.0));
+        assert_eq!(running.len(), 3);
+        // One place is left, and the other team has nothing yet.
+        b.submit(no_gpus(2, 5, 4.0), false);
+        let mut later = job(spec(3, 5));
+        later.at_ms = 60_000;
+        b.ledger
+            .put_job(&later, Stamp(2), false, at(60.0), &b.config);
+        let running = running.iter();
+        let tasks = running.map(|(t, a)| state(t, *a, TaskState::Running));
+        let report = b.report(0, 2, tasks.collect());
+        let launched = launches(&b.turn(&report, s));
+        assert_eq!(launched.len(), 1, "{s}");
+        assert_eq!(launched[0].0.job == task(2, 0).job, begun, "{s}");
+    }
+}
--- a/crates/pulleywood-standins/src/state.rs
+++ b/crates/pulleywood-standins/src/state.rs
@@ -27,6 +27,10 @@
     /// Transactions are not answered, and executed this many milliseconds
     /// later.
     Late(u64),
+    /// The same of every second transaction; newer ones are executed before.
+    SomeLate(u64),
+    /// Requests are executed and answered this many milliseconds later.
+    Slow(u64),
 }
 
 #[derive(Debug, Clone)]
@@ -57,6 +61,7 @@
     changed: Condvar,
     /// Reads of single jobs, and of what changed that do not wait.
     reads: AtomicU64,
+    commits: AtomicU64,
 }
 
 /// One controller's way to the service.
@@ -352,6 +357,15 @@
                 std::thread::sleep(NO_ANSWER);
                 return Response::status(503);
             }
+            Fault::Slow(ms) => std::thread::sleep(Duration::from_millis(ms)),
+            Fault::SomeLate(ms)
+                if commit && self.shared.commits.fetch_add(1, Ordering::Relaxed) % 2 == 0 =>
+            {
+                std::thread::sleep(Duration::from_millis(ms));
+                self.execute(request);
+                std::thread::sleep(NO_ANSWER);
+                return Response::status(503);
+            }
             Fault::Late(ms) if commit => {
                 std::thread::sleep(Duration::from_millis(ms));
                 self.execute(request);
--- a/crates/pulleywood-standins/src/worker.rs
+++ b/crates/pulleywood-standins/src/worker.rs
@@ -13,7 +13,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// What a worker is told of its place.
@@ -60,6 +60,8 @@
     state: Mutex<State>,
     cut: AtomicBool,
     deaf: AtomicBool,
+    /// Milliseconds that commands and answers are held up.
+    held: AtomicU64,
     gone: AtomicBool,
     sent: Mutex<VecDeque<Vec<u8>>>,
 }
@@ -87,6 +89,7 @@
             }),
             cut: AtomicBool::new(false),
             deaf: AtomicBool::new(false),
+            held: AtomicU64::new(0),
             sent: Mutex::new(VecDeque::new()),
             gone: AtomicBool::new(false),
         });
@@ -112,6 +115,16 @@
         self.deaf.store(deaf, Ordering::Relaxed);
     }
 
+    /// Direct commands are executed, and answers to reports taken, this much
+    /// later; the machine goes on meanwhile.
+    pub fn set_held(&self, by: Duration) {
+        self.held.store(by.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    fn hold(&self) {
+        std::thread::sleep(Duration::from_millis(self.held.load(Ordering::Relaxed)));
+    }
+
     /// The network brings all reports of some time once more to every
     /// controller, oldest first. Nobody waits for the answers.
     pub fn repeat_reports(&self) {
@@ -166,6 +179,7 @@
             match client.call("POST", "/v1/report", Some(&body), Duration::from_secs(4)) {
                 _ if self.deaf.load(Ordering::Relaxed) => at += 1,
                 Ok(a) if a.status == 200 => {
+                    self.hold();
                     if let Ok(answer) = cbor::decode::<ReportAnswer>(&a.body) {
                         self.take_answer(&answer, session, sent);
                     }
@@ -301,6 +315,7 @@
         if worker.gone.load(Ordering::Relaxed) {
             return Response::status(503);
         }
+        worker.hold();
         worker.pass_time();
         match (request.method, request.path) {
             ("GET", "/show") => Response::cbor(200, &worker.report(addr)),
--- a/crates/pulleywood/tests/failures.rs
+++ b/crates/pulleywood/tests/failures.rs
@@ -380,7 +380,7 @@
 
 #[test]
 fn answers_lost_and_transactions_applied_late_break_nothing() {
-    for fault in [Fault::LoseAnswers, Fault::Late(1700)] {
+    for fault in [Fault::LoseAnswers, Fault::Late(1700), Fault::Slow(900)] {
         let stage = Stage::new(0.0);
         let first = job(1, 4);
         stage.submit(&first, LONG);
@@ -744,3 +744,188 @@
     );
     stage.finish();
 }
+
+#[test]
+fn transactions_carried_out_after_newer_ones_break_nothing() {
+    // Shrinks, done batches, loans, ends and take-overs that land seconds late.
+    let mut stage = Stage::new(4.0);
+    let specs: Vec<JobSpec> = (1..=6).map(|n| job(n, 3)).collect();
+    let mut service = job(7, 2);
+    service.shape = Shape::Service;
+    stage.submit(&service, LONG);
+    stage.set_all(Fault::SomeLate(2500));
+    for spec in &specs {
+        stage.submit(spec, SHORT);
+    }
+    stage.kill(1);
+    stage.start(1);
+    let path = format!("/v2/runs/{}/cancel", service.id);
+    wait("cancelled", || stage.call(2, "POST", &path, None).0 == 200);
+    wait("gone", || stage.world.running(&service.id) == 0);
+    stage.world.gone_for_good(&service.id);
+    stage.set_all(Fault::None);
+    for spec in &specs {
+        stage.wait_done(&spec.id);
+    }
+    stage.finish();
+}
+
+#[test]
+fn tasks_that_end_far_apart_over_changes_of_owner_are_done_once() {
+    // One after the other, as the team's limit allows, and all controllers end
+    // between: done is what was committed and what workers report.
+    let mut stage = Stage::new(1.0);
+    let spec = job(1, 3);
+    stage.submit(&spec, Duration::from_secs(2));
+    for ended in 1..=2 {
+        wait("the next one runs", || stage.world.starts(&spec.id) > ended);
+        for n in 0..CONTROLLERS {
+            stage.kill(n);
+        }
+        for n in 0..CONTROLLERS {
+            stage.start(n);
+        }
+    }
+    stage.wait_done(&spec.id);
+    stage.finish();
+}
+
+#[test]
+fn cancellations_told_while_the_state_service_refuses_one_and_then_all_are_obeyed() {
+    for owner in 0..CONTROLLERS {
+        let stage = Stage::new(0.0);
+        let mut specs: Vec<JobSpec> = (1..=2).map(|n| job(n, 3)).collect();
+        for spec in &mut specs {
+            spec.shape = Shape::Service;
+            stage.submit(spec, LONG);
+            wait("all run", || stage.world.running(&spec.id) == 3);
+        }
+        stage.fronts[owner].set(Fault::Refuse);
+        let other = (owner + 1) % CONTROLLERS;
+        let path = format!("/v2/runs/{}/cancel", specs[0].id);
+        wait("cancelled", || {
+            stage.call(other, "POST", &path, None).0 == 200
+        });
+        stage.set_all(Fault::Refuse);
+        wait("gone", || stage.world.running(&specs[0].id) == 0);
+        stage.world.gone_for_good(&specs[0].id);
+        // Longer than `cancel_s`: whoever still answered workers has stopped.
+        wait("all lapsed", || stage.world.running(&specs[1].id) == 0);
+        for n in 0..CONTROLLERS {
+            let (status, _) = stage.call(n, "GET", &format!("/v2/runs/{}", specs[1].id), None);
+            assert!(status == 503 || status == 429, "{status}");
+        }
+        stage.set_all(Fault::None);
+        stage.state.extend_leases();
+        wait("runs again", || stage.world.running(&specs[1].id) == 3);
+        for n in 0..CONTROLLERS {
+            wait("told", || {
+                stage.status(n, &specs[0].id) == Some(JobStatus::Cancelled)
+            });
+        }
+        stage.finish();
+    }
+}
+
+#[test]
+fn a_leader_that_ends_while_machines_are_deaf_or_held_up_starts_nothing_twice() {
+    for deaf in [true, false] {
+        let mut stage = Stage::new(0.0);
+        let spec = job(1, 6);
+        stage.submit(&spec, LONG);
+        wait("all run", || stage.world.running(&spec.id) == 6);
+        let machines = stage.world.machines_of(&spec.id);
+        let workers: Vec<_> = machines
+            .iter()
+            .take(2)
+            .map(|m| stage.cloud.worker(m).unwrap())
+            .collect();
+        let set = |on: bool| {
+            for worker in &workers {
+                match deaf {
+                    true => worker.set_deaf(on),
+                    false => worker.set_held(Duration::from_millis(if on { 1300 } else { 0 })),
+                }
+            }
+        };
+        set(true);
+        for _ in 0..2 {
+            for n in 0..CONTROLLERS {
+                stage.kill(n);
+                stage.start(n);
+            }
+        }
+        let more = job(2, 4);
+        stage.submit(&more, SHORT);
+        set(false);
+        stage.wait_done(&spec.id);
+        stage.wait_done(&more.id);
+        stage.finish();
+    }
+}
+
+#[test]
+fn final_states_are_read_once_by_each_controller() {
+    let stage = Stage::new(0.0);
+    let specs: Vec<JobSpec> = (1..=8).map(|n| job(n, 1)).collect();
+    for spec in &specs {
+        stage.submit(spec, SHORT);
+    }
+    for spec in &specs {
+        stage.wait_done(&spec.id);
+    }
+    let ask = || {
+        for spec in &specs {
+            for n in 0..CONTROLLERS {
+                wait("told", || {
+                    stage.status(n, &spec.id) == Some(JobStatus::Done)
+                });
+            }
+        }
+    };
+    ask();
+    let before = stage.state.reads();
+    for _ in 0..5 {
+        ask();
+    }
+    assert_eq!(stage.state.reads(), before);
+    stage.finish();
+}
+
+#[test]
+fn requests_repeated_late_carry_nothing_out_twice() {
+    let stage = Stage::new(0.0);
+    let (ended, cancelled) = (job(1, 2), job(2, 2));
+    for spec in [&ended, &cancelled] {
+        stage.submit(spec, SHORT);
+    }
+    let cancel = |n: usize, spec: &JobSpec| {
+        let path = format!("/v2/runs/{}/cancel", spec.id);
+        let (status, body) = stage.call(n, "POST", &path, None);
+        let told = |body: &[u8]| cbor::decode::<JobAnswer>(body).unwrap().status;
+        (status == 200).then(|| told(&body))
+    };
+    let mut told = None;
+    wait("ended one way", || {
+        told = cancel(0, &cancelled);
+        told.is_some()
+    });
+    stage.wait_done(&ended.id);
+    let starts = stage.world.starts(&ended.id) + stage.world.starts(&cancelled.id);
+    for n in 0..CONTROLLERS {
+        for (spec, status) in [(&ended, JobStatus::Done), (&cancelled, told.unwrap())] {
+            let body = cbor::encode(spec);
+            wait("submitted again", || {
+                let (code, body) = stage.call(n, "POST", "/v2/runs", Some(&body));
+                assert_ne!(code, 201, "accepted twice");
+                code == 200 && cbor::decode::<JobAnswer>(&body).unwrap().status == status
+            });
+            wait("cancelled again", || cancel(n, spec) == Some(status));
+        }
+        let unknown = stage.call(n, "GET", "/v2/runs/j-999999", None).0;
+        assert_eq!(unknown, 404);
+    }
+    let after = stage.world.starts(&ended.id) + stage.world.starts(&cancelled.id);
+    assert_eq!(after, starts);
+    stage.finish();
+}
