--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -356,8 +356,8 @@
     }
     assert_eq!((taken[0].len(), taken[1].len()), (2, 2));
     b.submit(no_gpus(3, 1, 4.0), false);
-    for m in 0..2 {
-        let running = taken[m].iter();
+    for (m, taken) in taken.iter().enumerate() {
+        let running = taken.iter();
         let tasks = running.map(|(t, a)| state(t, *a, TaskState::Running));
         let report = b.report(m, 2, tasks.collect());
         let launched = launches(&b.turn(&report, 3.0));
@@ -385,7 +385,7 @@
         for (m, on) in on.iter_mut().enumerate() {
             // A small task ends here every second time.
             let small = on.iter().position(|(t, _)| t.job == task(1, 0).job);
-            let ended = small.filter(|_| (seq + m as u64) % 2 == 0);
+            let ended = small.filter(|_| (seq + m as u64).is_multiple_of(2));
             let ended = ended.map(|at| on.remove(at));
             let running = on.iter();
             let mut tasks: Vec<_> = running
