--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -162,8 +162,6 @@
     most: u32,
     /// An earlier turn of the same plan may have placed some.
     again: bool,
-    /// How many this turn and those that it is the rest of were to place.
-    given: u32,
     /// It has waited so long to begin that its team's share counts no more.
     late: bool,
 }
@@ -208,22 +206,11 @@
             let Some(queue) = queues.get_mut(team) else {
                 break;
             };
-            let Some(mut turn) = queue.pop() else {
+            let Some(turn) = queue.pop() else {
                 queues.remove(team);
                 continue;
             };
-            let most = planner.until_next(&turn, &queues);
-            let rest = turn.most.saturating_sub(most);
-            turn.most = turn.most.min(most);
-            turn.given = turn.given.saturating_add(most);
             if planner.place(&turn) {
-                // The rest of a wide job has its turn after other teams.
-                let more = turn.job.waiting.len() > turn.given && rest > 0;
-                if more && planner.granted(&turn.job.spec, &planner.used) {
-                    turn.most = rest;
-                    turn.again = true;
-                    queues.entry(&turn.job.spec.team).or_default().push(turn);
-                }
                 continue;
             }
             if turn.worth == f64::INFINITY && !planner.kept {
@@ -332,7 +319,6 @@
                 at_ms: job.at_ms,
                 most,
                 again,
-                given: 0,
                 late: worth == f64::INFINITY && age > LATE * config.policy.patience_s,
             };
             let queue = queues.entry(&job.spec.team).or_default();
@@ -518,28 +504,6 @@
             .map(|(.., name)| name)
     }
 
-    /// How many tasks of a job are placed before another team's turn comes: as
-    /// many as bring its team up to that one.
-    fn until_next(&self, turn: &Turn<'_>, queues: &BTreeMap<&str, Vec<Turn<'_>>>) -> u32 {
-        let team = &turn.job.spec.team;
-        let load = |team: &str| self.load(team, self.ledger.everywhere(team, &self.used));
-        let others = queues.iter().filter(|(name, queue)| {
-            let next = queue.last().map(|t| (t.rank, t.late));
-            *name != team && next == Some((turn.rank, turn.late))
-        });
-        let next = others
-            .map(|(name, _)| load(name))
-            .fold(f64::INFINITY, f64::min);
-        let task = self.load(team, Room::of_task(&turn.job.spec).slots());
-        let gap = next - load(team);
-        if gap == f64::INFINITY || task <= 0.0 || turn.job.spec.shape == Shape::Gang {
-            return u32::MAX;
-        }
-        // Each turn looks at all machines with room and at what is planned.
-        let least = self.sites.len().max(turn.job.waiting.len() as usize) as f64 / 16.0;
-        (gap / task).max(least).min(1e9) as u32 + 1
-    }
-
     /// What a team uses for its weight: the larger of its shares of processors
     /// and of GPUs. Counted in GPUs first, a team that uses none had the least
     /// whatever else it held, and took each processor that came free until the
