--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -884,19 +884,30 @@
             }
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut lost = 0.0;
-        let mut victims = Vec::new();
+        let room_of = |at: usize| site.slots[at].spec.as_deref().map(Room::of_task);
+        let mut victims: Vec<(f64, usize)> = Vec::new();
         for (loss, at) in candidates {
-            if let Some(victim) = &site.slots[at].spec {
-                room += Room::of_task(victim);
-                lost += loss;
-                victims.push(at);
-            }
+            room += room_of(at).unwrap_or_default();
+            victims.push((loss, at));
             if room.fits(need) {
-                return Some((lost, victims));
+                break;
+            }
+        }
+        if !room.fits(need) {
+            return None;
+        }
+        // One large task may have made room that small ones need not give.
+        let mut needed = Vec::new();
+        for (loss, at) in victims.into_iter().rev() {
+            let mut without = room;
+            without -= room_of(at).unwrap_or_default();
+            match without.fits(need) {
+                true => room = without,
+                false => needed.push((loss, at)),
             }
         }
-        None
+        let lost = needed.iter().map(|(loss, _)| loss).sum();
+        Some((lost, needed.into_iter().map(|(_, at)| at).collect()))
     }
 }
 
--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -430,3 +430,40 @@
         assert_eq!(launched[0].0.job == task(2, 0).job, begun, "{s}");
     }
 }
+
+#[test]
+fn no_more_is_stopped_than_makes_room() {
+    // Three small tasks that cost least to stop, and one large one without which
+    // there is no room: it alone is enough.
+    let mut b = Bench::new(&["a"]);
+    for (n, tasks, cpus, checkpoint) in [(1, 3, 2.0, 10.0), (2, 1, 10.0, 0.0)] {
+        let mut low = no_gpus(n, tasks, cpus);
+        low.rank = Rank::Idle;
+        low.checkpoint_s.0 = checkpoint;
+        b.submit(low, false);
+    }
+    let report = b.report(0, 1, vec![]);
+    let running = launches(&b.turn(&report, 1.0));
+    assert_eq!(running.len(), 4);
+    let tasks = || -> Vec<_> {
+        let running = running.iter();
+        let tasks = running.map(|(t, a)| state(t, *a, TaskState::Running));
+        tasks.collect()
+    };
+    let report = b.report(0, 2, tasks());
+    b.turn(&report, 2.0);
+    let mut high = spec(3, 1);
+    (high.cpus.0, high.image_gb.0) = (8.0, 0.0);
+    b.submit(high, false);
+    let mut stopped = Vec::new();
+    for seq in 3..=4 {
+        let report = b.report(0, seq, tasks());
+        for order in b.turn(&report, 60.0 + seq as f64) {
+            if let Order::Halt { leg, .. } = order {
+                stopped.push(leg);
+            }
+        }
+    }
+    stopped.dedup();
+    assert_eq!(stopped, vec![task(2, 0)]);
+}
