Let a job that waits use the room kept for it when it may stop others

Found by reading the test of what is stopped: for a job that had waited a minute, a machine's free room was kept and with it the GPUs, so that stopping tasks without GPUs there never made room for it (no_more_is_stopped_than_makes_room).

--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -42,6 +42,8 @@
     free: Room,
     /// Room of tasks that were told to stop.
     coming: Room,
+    /// What was free and is kept for a job.
+    kept: Option<(&'a JobId, Room)>,
     fetch_rate: f64,
     /// Images present, and those being fetched with the GB still queued.
     images: &'a VecDeque<(String, f64)>,
@@ -70,6 +72,18 @@
                 .is_none_or(|t| t.iter().any(|t| t == self.flavor))
     }
 
+    /// What is free for a job's task, also what is kept for the job: what it
+    /// stops elsewhere on the machine adds to that.
+    fn room_for(&self, spec: &JobSpec) -> Room {
+        let mut room = self.free;
+        if let Some((id, kept)) = self.kept
+            && *id == spec.id
+        {
+            room += kept;
+        }
+        room
+    }
+
     fn has_image(&self, spec: &JobSpec) -> bool {
         self.images.iter().any(|(n, _)| *n == spec.image)
     }
@@ -214,7 +228,7 @@
                 continue;
             }
             if turn.worth == f64::INFINITY && !planner.kept {
-                planner.kept = planner.keep_room(turn.job);
+                planner.kept = planner.keep_room(&turn);
             }
             let queue = queues.get(turn.job.spec.team.as_str());
             let alike = queue.into_iter().flatten().filter(|t| t.rank == turn.rank);
@@ -285,6 +299,7 @@
                 whole,
                 free,
                 coming,
+                kept: None,
                 fetch_rate: flavor.fetch_gb_per_s.0,
                 images: &m.images,
                 fetching,
@@ -536,8 +551,8 @@
     /// Keeps the rest of one machine free for a job that has waited long enough
     /// and fits nowhere: as tasks end there, its room grows until a task fits.
     /// Without it, smaller tasks would take each piece that comes free.
-    fn keep_room(&mut self, job: &Job) -> bool {
-        self.keep_sites(job, 1) > 0
+    fn keep_room(&mut self, turn: &Turn<'a>) -> bool {
+        self.keep_sites(turn, 1) > 0
     }
 
     /// Keeps room in the same way for a team whose turn it was, as much as is
@@ -562,13 +577,14 @@
         if lead > 0.0 && task > 0.0 {
             // What one gains the other loses.
             let due = (lead / task / 2.0).floor() as usize;
-            self.keep_sites(turn.job, due.min(waiting as usize));
+            self.keep_sites(turn, due.min(waiting as usize));
         }
     }
 
     /// Keeps what is free on machines nearest to having room for a task of a
     /// job, up to so many; on how many it was done.
-    fn keep_sites(&mut self, job: &Job, most: usize) -> usize {
+    fn keep_sites(&mut self, turn: &Turn<'a>, most: usize) -> usize {
+        let (id, job) = (turn.id, turn.job);
         let need = Room::of_task(&job.spec);
         let zones = self.ledger.by_zone(job);
         let Some(index) = job.waiting.iter().next() else {
@@ -587,7 +603,8 @@
         let mut near: Vec<(f64, &MachineId, usize)> = (0..self.sites.len())
             .map(|at| (at, &self.sites[at]))
             .filter(|(_, s)| {
-                s.allows(&job.spec)
+                s.kept.is_none()
+                    && s.allows(&job.spec)
                     && !job.health.avoids(s.id, self.now)
                     && zone_allows(job, &zones, index, s.zone)
                     && lasting(s).fits(&need)
@@ -598,7 +615,8 @@
         near.truncate(most);
         let kept: Vec<usize> = near.into_iter().map(|(.., at)| at).collect();
         for &at in &kept {
-            self.sites[at].free = Room::default();
+            let site = &mut self.sites[at];
+            site.kept = Some((id, std::mem::take(&mut site.free)));
         }
         self.open.retain(|at| !kept.contains(at));
         kept.len()
@@ -836,9 +854,10 @@
                     }
                 }
                 // The room now belongs to this job.
-                let mut room = site.free;
+                let mut room = site.room_for(spec);
                 room += site.coming;
                 room -= need;
+                site.kept = None;
                 site.coming = room;
                 site.free = Room::default();
                 self.coming.insert(at);
@@ -865,7 +884,7 @@
         beyond: &BTreeSet<&str>,
         stops: bool,
     ) -> Option<(f64, Vec<usize>)> {
-        let mut room = site.free;
+        let mut room = site.room_for(spec);
         room += site.coming;
         if room.fits(need) {
             return Some((0.0, Vec::new()));
