Take no older state from answers that come after the watch has passed them

Found by reading what each transaction's late answer does. A controller tells its own view at once what it has written. Where the answer is slow, the watch may have brought that change and a newer one of the same keys before. Taken all the same, a job that was cancelled through another controller meanwhile was live again here, for good, and its part would launch it; a pack or rack that had ended came back; and the packs' or racks' head went back to an older one, so that this controller refused every submission until another wrote a pack. Now such answers change nothing, nor does a job that was read while its end came (answers_to_own_transactions_bring_nothing_back...).

--- a/crates/pulleywood/src/adopt.rs
+++ b/crates/pulleywood/src/adopt.rs
@@ -162,8 +162,7 @@
                 let names: Vec<&str> = ids.iter().map(|id| &*id.0).collect();
                 log::info!("rack {n}: adopted {}", names.join(" "));
                 let mut node = shared.node.lock();
-                node.view.rack_head = (head, stamp);
-                node.put_rack(n, Some(rack), stamp, now);
+                node.wrote_rack(head, (n, Some(rack)), stamp, now);
                 drop(node);
                 let (taken, left): (Vec<_>, Vec<_>) =
                     waiting.into_iter().partition(|(_, w)| ids.contains(&w.id));
--- a/crates/pulleywood/src/intake.rs
+++ b/crates/pulleywood/src/intake.rs
@@ -227,8 +227,7 @@
             Ok(Ok(stamp)) => {
                 let now = shared.clock.now();
                 let mut node = shared.node.lock();
-                node.view.head = (next, stamp);
-                node.put_pack(next.last, Some(pack), stamp, now);
+                node.wrote_pack(next, pack, stamp, now);
                 drop(node);
                 shared.bell.notify_all();
                 log::debug!("accepted {} jobs in pack {}", waiting.len(), next.last);
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -483,7 +483,7 @@
     }
 
     /// A pack as stored, or its end.
-    pub fn put_pack(&mut self, n: u64, record: Option<PackRecord>, stamp: Stamp, now: Moment) {
+    fn put_pack(&mut self, n: u64, record: Option<PackRecord>, stamp: Stamp, now: Moment) {
         let (new, left) = self.view.packs.put(n, record, stamp);
         for record in new {
             let id = record.spec.id.clone();
@@ -517,6 +517,14 @@
             .retain(|p, owned| *p != part || owned.stamp >= stamp);
     }
 
+    /// The watch has brought every change up to this revision, and perhaps newer
+    /// ones of the same keys. What the answer to a transaction of this
+    /// controller says is then known already, or out of date: taken all the
+    /// same, it brought back jobs that had been cancelled since.
+    pub fn passed(&self, stamp: Stamp) -> bool {
+        self.view.ledger >= stamp.0
+    }
+
     /// A transaction of this controller ended a job.
     pub fn end_job(&mut self, id: &JobId, stamp: Stamp) {
         self.ended.insert(id.clone(), stamp);
@@ -529,15 +537,39 @@
 
     /// A transaction of this controller took jobs out of packs.
     pub fn left_packs(&mut self, packs: Vec<(u64, Option<PackRecord>)>, stamp: Stamp, now: Moment) {
+        if self.passed(stamp) {
+            return;
+        }
         for (n, record) in packs {
             self.put_pack(n, record, stamp, now);
         }
         self.settle_packs(now);
     }
 
-    /// A job has a record of its own.
-    pub fn own_record(&mut self, id: &JobId) {
-        self.view.own.insert(id.clone());
+    /// A transaction of this controller gave a job a record of its own.
+    pub fn own_record(&mut self, id: &JobId, stamp: Stamp) {
+        if !self.passed(stamp) {
+            self.view.own.insert(id.clone());
+        }
+    }
+
+    /// A transaction of this controller wrote a pack, and the packs' head.
+    pub fn wrote_pack(&mut self, head: PackHead, pack: PackRecord, stamp: Stamp, now: Moment) {
+        // Another may have written the next one meanwhile: an older head would
+        // stay, as the watch has brought the newer one, and every submission
+        // that rests on it would be refused.
+        if !self.passed(stamp) {
+            self.view.head = (head, stamp);
+            self.put_pack(head.last, Some(pack), stamp, now);
+        }
+    }
+
+    /// A transaction of this controller wrote a rack, and the racks' head.
+    pub fn wrote_rack(&mut self, head: PackHead, rack: Racked, stamp: Stamp, now: Moment) {
+        if !self.passed(stamp) {
+            self.view.rack_head = (head, stamp);
+            self.put_racks(vec![rack], stamp, now);
+        }
     }
 
     /// The view is complete up to this revision.
@@ -563,7 +595,7 @@
     }
 
     /// A rack as stored, or its end.
-    pub fn put_rack(&mut self, n: u64, record: Option<RackRecord>, stamp: Stamp, now: Moment) {
+    fn put_rack(&mut self, n: u64, record: Option<RackRecord>, stamp: Stamp, now: Moment) {
         let Some(changed) = self.view.racks.put(n, record, stamp) else {
             return;
         };
@@ -580,6 +612,9 @@
 
     /// A transaction of this controller changed racks.
     pub fn put_racks(&mut self, racks: Vec<Racked>, stamp: Stamp, now: Moment) {
+        if self.passed(stamp) {
+            return;
+        }
         for (n, record) in racks {
             self.put_rack(n, record, stamp, now);
         }
@@ -616,8 +651,12 @@
         self.view.jobs.contains_key(id)
     }
 
-    /// A job accepted here is told to its part at once if that is here too.
+    /// A job accepted or lent by a transaction of this controller is told to its
+    /// parts at once if they are here too.
     pub fn put_job(&mut self, record: &JobRecord, stamp: Stamp, now: Moment) {
+        if self.passed(stamp) {
+            return;
+        }
         let config = Arc::clone(&self.config);
         self.view.jobs.entry(record.spec.id.clone()).or_insert(0);
         self.view.own.insert(record.spec.id.clone());
@@ -854,13 +893,100 @@
             let rack = RackRecord {
                 machines: BTreeMap::from([(id.clone(), record(1))]),
             };
-            node.put_rack(1, Some(rack), Stamp(watched), at(11));
+            node.put_racks(vec![(1, Some(rack))], Stamp(watched), at(11));
             let ledger = &node.owned[&PartId(0)].ledger;
             let unheard = ledger.machines.get(&id).is_some_and(|m| m.unheard);
             assert_eq!(unheard, kept, "{read} {watched}");
         }
     }
 
+    fn event(write: bool, path: &str, value: impl serde::Serialize, stamp: u64) -> Event {
+        let value = cbor::to_value(&value);
+        Event {
+            write: write.then(|| path.to_owned()),
+            delete: (!write).then(|| path.to_owned()),
+            value: write.then_some(value),
+            stamp: Stamp(stamp),
+        }
+    }
+
+    fn record(n: u64) -> JobRecord {
+        let spec = serde_json::json!({
+            "uid": format!("j-{n:06}"), "lane": "c", "crew": "red", "shape": "service",
+            "rank": "standard", "legs": 1, "vcpus": 1.0, "cards": 0.0, "mem_gb": 1.0,
+            "cargo": "img", "size_gb": 0.0, "rigs": null, "yard": null,
+            "same_place": false, "apart": false, "loaner": false, "haul_s": 0.0,
+            "waypoint_s": 0.0, "stow_s": 0.0, "due_s": null,
+        });
+        JobRecord {
+            spec: serde_json::from_value(spec).unwrap(),
+            at_ms: 0,
+            part: PartId(0),
+            lent: vec![],
+            done: String::new(),
+        }
+    }
+
+    #[test]
+    fn answers_to_own_transactions_bring_nothing_back_that_the_watch_has_passed() {
+        // A job is accepted at revision 50 and cancelled through another
+        // controller at 51. The answer to the first may come last.
+        for late in [false, true] {
+            let mut node = node();
+            taken(&mut node);
+            let job = record(1);
+            let id = job.spec.id.clone();
+            let key = pulleywood_wire::record::job_key(id.part(2), &id);
+            if !late {
+                node.put_job(&job, Stamp(50), at(11));
+                assert!(node.is_live(&id));
+            }
+            node.event(event(true, &key, &job, 50), at(11));
+            node.event(event(false, &key, 0, 51), at(11));
+            node.complete(51, at(11));
+            if late {
+                node.put_job(&job, Stamp(50), at(12));
+                node.own_record(&id, Stamp(50));
+            }
+            assert!(!node.is_live(&id), "late: {late}");
+            let ledger = &node.owned[&PartId(0)].ledger;
+            assert!(!ledger.jobs.contains_key(&id), "late: {late}");
+        }
+        // A pack and a rack at 60, the next of another controller at 61.
+        for late in [false, true] {
+            let mut node = node();
+            let (mine, next) = (PackHead { last: 1 }, PackHead { last: 2 });
+            let pack = PackRecord {
+                jobs: vec![record(2)],
+            };
+            let say = |node: &mut Node| {
+                node.wrote_pack(mine, pack.clone(), Stamp(60), at(12));
+                let rack = (1, Some(RackRecord::default()));
+                node.wrote_rack(mine, rack, Stamp(60), at(12));
+            };
+            if !late {
+                say(&mut node);
+            }
+            for head in [
+                pulleywood_wire::record::HEAD,
+                pulleywood_wire::record::RACKS,
+            ] {
+                node.event(event(true, head, mine, 60), at(12));
+                node.event(event(true, head, next, 61), at(12));
+            }
+            let key = pulleywood_wire::record::pack_key(1);
+            node.event(event(true, &key, &pack, 60), at(12));
+            node.event(event(false, &key, 0, 61), at(12));
+            node.complete(61, at(12));
+            if late {
+                say(&mut node);
+            }
+            assert_eq!(node.view.head, (next, Stamp(61)), "late: {late}");
+            assert_eq!(node.view.rack_head, (next, Stamp(61)), "late: {late}");
+            assert!(!node.is_live(&record(2).spec.id), "late: {late}");
+        }
+    }
+
     #[test]
     fn a_part_whose_key_changed_is_no_longer_held() {
         for (stamp, held) in [(39, true), (40, true), (41, false)] {
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -404,6 +404,11 @@
         if node.lease.permit != Some(permit) {
             return Ok(());
         }
+        // The watch may have brought its end, which it does not bring again.
+        let key = node.view.parts.get(&part);
+        if node.passed(stamp) && key.is_none_or(|(_, at)| *at != stamp) {
+            return Ok(());
+        }
         let mut ledger = PartLedger::new(part, term, silent_until, config.zones.clone());
         ledger.day_offset_ms = now.0 as i64 - time_of_day_ms() as i64;
         if !has_grant {
@@ -805,7 +810,7 @@
             for job in &batch.jobs {
                 match job.over {
                     Some(_) => node.end_job(&job.id, stamp),
-                    None => node.own_record(&job.id),
+                    None => node.own_record(&job.id, stamp),
                 }
             }
             node.left_packs(batch.packs, stamp, now);
@@ -858,6 +863,8 @@
     let now = shared.clock.now();
     let mut node = shared.node.lock();
     let config = Arc::clone(&node.config);
+    // The watch may have brought its end while it was read.
+    let known = node.view.jobs.contains_key(id);
     let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) else {
         return Ok(());
     };
@@ -865,6 +872,7 @@
     for item in &items {
         if let Some((job, entry)) = job_entry(item)
             && job == *id
+            && known
         {
             live = true;
             owned.job_event(id, &entry, item.stamp, false, now, &config);
@@ -932,12 +940,8 @@
         let mut node = shared.node.lock();
         match outcome {
             Ok(Outcome::Applied(stamp)) => {
-                let config = Arc::clone(&node.config);
-                node.own_record(&id);
+                node.put_job(&record, stamp, now);
                 node.left_packs(packs, stamp, now);
-                for owned in node.owned.values_mut().filter(|o| o.loaded) {
-                    owned.ledger.put_job(&record, stamp, false, now, &config);
-                }
                 lent = true;
             }
             outcome => {
@@ -1057,7 +1061,7 @@
         let ours = |r: &MachineRecord| r.part == part && !r.retiring;
         if !rack.machines.get(id).is_some_and(ours) {
             let mut node = shared.node.lock();
-            node.put_rack(n, Some(rack), item.stamp, now);
+            node.put_racks(vec![(n, Some(rack))], item.stamp, now);
             return;
         }
         let commit = Commit::default()
@@ -1066,7 +1070,7 @@
             .write(key, &rack);
         if let Ok(Outcome::Applied(stamp)) = shared.state.commit(Class::Owner, &commit) {
             let mut node = shared.node.lock();
-            node.put_rack(n, Some(rack), stamp, now);
+            node.put_racks(vec![(n, Some(rack))], stamp, now);
             drop(node);
             stay(shared, part, id);
             return;
