Gather grants that are less than a task each in one part

Now a part says when none of a team's waiting tasks fits into the rest of its grant, and such rests gather in the part that has most of it, shrink before grow (grants_that_are_less_than_a_task...). Also: a broken job is granted and, where there is no machine at all, rented room for the one task that it is tried with, so that a mended one is not forgotten.

--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::ledger::{Job, PartLedger};
-use crate::room::{Room, add};
+use crate::room::{Room, add, within};
 use pulleywood_wire::Moment;
 use pulleywood_wire::job::Shape;
 use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
@@ -15,27 +15,37 @@
         let used = self.used(config);
         let mut wanted: BTreeMap<String, Slots> = BTreeMap::new();
         let mut demand: Vec<Demand> = Vec::new();
+        let mut stuck: BTreeMap<&str, bool> = BTreeMap::new();
         for job in self.jobs.values().filter(|j| !j.waiting.is_empty()) {
             let Some(team) = config.teams.get(&job.spec.team) else {
                 continue;
             };
-            // Nothing is rented, moved, granted or lent for what fails everywhere.
-            if job.health.is_broken() {
-                continue;
-            }
-            let count = job.waiting.len();
+            // Nothing is rented, moved or lent for what fails everywhere, but for
+            // one task that it is tried with where there is no machine at all.
+            let broken = job.health.is_broken();
+            let count = match broken {
+                true => 1,
+                false => job.waiting.len(),
+            };
             if team.limited() {
                 let one = Room::of_task(&job.spec).slots();
+                let mine = used.get(&job.spec.team).copied().unwrap_or_default();
+                let grant = self.grants.teams.get(&job.spec.team);
+                let grant = grant.copied().unwrap_or_default();
+                let fits = within(mine, one, grant, team.limit);
+                let all = stuck.entry(&job.spec.team).or_insert(true);
+                *all &= !fits;
                 let sum = wanted.entry(job.spec.team.clone()).or_default();
                 for _ in 0..count.min(1000) {
                     add(sum, one);
                 }
             }
-            if job.health.is_held(now) {
+            if job.health.is_held(now) || (broken && !self.machines.is_empty()) {
                 continue;
             }
-            self.add_demand(&mut demand, job);
+            self.add_demand(&mut demand, job, if broken { 1 } else { u32::MAX });
         }
+        let stuck = stuck.into_iter().filter(|(_, all)| *all);
         PartDigest {
             part: self.part,
             rebuilding: self.rebuilding(),
@@ -44,6 +54,7 @@
             machines: self.machine_digests(now, config),
             used,
             wanted,
+            stuck: stuck.map(|(team, _)| team.to_owned()).collect(),
             running: self.all_running(),
         }
     }
@@ -77,9 +88,14 @@
         reserve
     }
 
-    fn add_demand(&self, demand: &mut Vec<Demand>, job: &Job) {
+    fn add_demand(&self, demand: &mut Vec<Demand>, job: &Job, mut most: u32) {
         let zones = self.zones_left(job);
         for (zones, count) in zones {
+            let count = count.min(most);
+            most -= count;
+            if count == 0 {
+                continue;
+            }
             let item = demand_of(job, zones, count);
             let same = demand.iter_mut().find(|d| {
                 (d.cpus, d.gpus, d.memory_gb) == (item.cpus, item.gpus, item.memory_gb)
--- a/crates/pulleywood-core/src/grants.rs
+++ b/crates/pulleywood-core/src/grants.rs
@@ -31,6 +31,8 @@
     pub used: Slots,
     /// Wanted by waiting tasks on top of that.
     pub wanted: Slots,
+    /// None of these tasks fits into what is left of the part's grant.
+    pub stuck: bool,
 }
 
 /// One dimension of a team's slots.
@@ -89,11 +91,16 @@
                     (get(n.used, dim) + get(n.wanted, dim) - granted(p)).max(0.0)
                 })
             };
-            let Some(poor) = records
-                .keys()
-                .filter(|p| lack(p) > 1e-6)
-                .max_by(|a, b| lack(a).total_cmp(&lack(b)))
-            else {
+            let left = |p: &PartId| need(p).map_or(0.0, |n| granted(p) - get(n.used, dim));
+            // Where each part's rest of the grant is less than one task, it is of
+            // use to nobody: it gathers in one part, the one that has most of it.
+            let stuck = |p: &&PartId| need(p).is_some_and(|n| n.stuck) && lack(p) > 1e-6;
+            let stuck: Vec<&PartId> = records.keys().filter(stuck).collect();
+            let most = stuck.iter().copied();
+            let favoured = most.max_by(|a, b| left(a).total_cmp(&left(b)).then(b.cmp(a)));
+            let lacking = records.keys().filter(|p| lack(p) > 1e-6);
+            let poorest = lacking.max_by(|a, b| lack(a).total_cmp(&lack(b)));
+            let Some(poor) = favoured.or(poorest) else {
                 continue;
             };
             let sum: f64 = records.keys().map(granted).sum();
@@ -112,12 +119,16 @@
                     (granted(p) - get(n.used, dim) - get(n.wanted, dim)).max(0.0)
                 })
             };
+            let spares = |p: &PartId| match favoured.is_some() && stuck.contains(&p) {
+                true => left(p).max(0.0),
+                false => unused(p),
+            };
             if let Some(rich) = records
                 .keys()
-                .filter(|p| *p != poor && unused(p) > 1e-6)
-                .max_by(|a, b| unused(a).total_cmp(&unused(b)))
+                .filter(|p| *p != poor && spares(p) > 1e-6)
+                .max_by(|a, b| spares(a).total_cmp(&spares(b)))
             {
-                let left = granted(rich) - unused(rich).min(lack(poor));
+                let left = granted(rich) - spares(rich).min(lack(poor));
                 let (part, teams) = shrink.get_or_insert((*rich, BTreeMap::new()));
                 if part == rich {
                     let base = records[rich].teams.get(name).copied().unwrap_or_default();
--- a/crates/pulleywood-core/tests/grants.rs
+++ b/crates/pulleywood-core/tests/grants.rs
@@ -24,6 +24,7 @@
             Need {
                 used: slots(0.0, used),
                 wanted: slots(0.0, wanted),
+                stuck: false,
             },
         )])
     };
@@ -72,3 +73,64 @@
 fn teams_without_a_limit_need_no_grant() {
     assert!(first(&config(), 3).teams.is_empty());
 }
+
+#[test]
+fn grants_that_are_less_than_a_task_each_gather_in_one_part() {
+    // (limit, GPUs a task, parts). Each part holds its share of the limit, has
+    // tasks that wait, and room for none of them within its grant: no part has
+    // anything unused to give, and none of them ever started.
+    for (limit, gpus, parts) in [(1.0, 1.0, 3), (8.0, 4.0, 5), (7.0, 4.0, 3), (2.5, 2.0, 2)] {
+        let mut config = config();
+        config.teams.get_mut("red").unwrap().limit = slots(0.0, limit);
+        let mut ledgers: BTreeMap<PartId, _> = BTreeMap::new();
+        for p in 0..parts {
+            let mut b = Bench::new(&["a"]);
+            b.config = config.clone();
+            b.ledger.grants = first(&config, parts);
+            let mut job = spec(u64::from(p) + 1, 3);
+            job.gpus.0 = gpus;
+            b.submit(job, false);
+            ledgers.insert(PartId(p), b);
+        }
+        let mut begun = 0;
+        for _ in 0..20 {
+            let mut needs = BTreeMap::new();
+            for (p, b) in &ledgers {
+                let digest = b.ledger.digest(at(1.0), &b.config);
+                let of = |m: &BTreeMap<String, _>| m.get("red").copied().unwrap_or_default();
+                let need = Need {
+                    used: of(&digest.used),
+                    wanted: of(&digest.wanted),
+                    stuck: digest.stuck.contains("red"),
+                };
+                needs.insert(*p, BTreeMap::from([("red".to_owned(), need)]));
+            }
+            let records: BTreeMap<_, _> = ledgers
+                .iter()
+                .map(|(p, b)| (*p, b.ledger.grants.clone()))
+                .collect();
+            match balance(&config, &records, &needs) {
+                Some(Step::Grow(p, record)) => {
+                    ledgers.get_mut(&p).unwrap().ledger.grants = record;
+                }
+                Some(Step::Shrink(p, to)) => {
+                    let used = ledgers[&p].ledger.used(&config);
+                    let next = shrunk(&records[&p], &to, &used);
+                    ledgers.get_mut(&p).unwrap().ledger.grants = next.unwrap();
+                }
+                None => break,
+            }
+            let granted = ledgers.values().map(|b| &b.ledger.grants.teams["red"]);
+            let sum: f64 = granted.map(|s| s.gpus.0).sum();
+            assert!(sum <= limit + 1e-6, "{sum} of {limit}");
+            for b in ledgers.values_mut() {
+                b.ledger.disturb();
+                let seq = b.ledger.machines[&machine(0)].newest.1 + 1;
+                let report = b.report(0, seq, vec![]);
+                begun += launches(&b.turn(&report, 1.0)).len();
+            }
+        }
+        let most = (limit / gpus).floor() as usize;
+        assert!(begun >= most, "{begun} of {most} began, limit {limit}");
+    }
+}
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -4,7 +4,7 @@
 use crate::job::JobSpec;
 use crate::record::Slots;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// A request to another controller.
@@ -80,6 +80,10 @@
     pub used: BTreeMap<String, Slots>,
     /// Slots that waiting tasks of limited teams would take.
     pub wanted: BTreeMap<String, Slots>,
+    /// Limited teams none of whose waiting tasks fits into what is left of the
+    /// part's grant.
+    #[serde(default)]
+    pub stuck: BTreeSet<String>,
     /// Running tasks by job, for display.
     pub running: Vec<(JobId, u32)>,
 }
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -245,6 +245,9 @@
                 for (team, wanted) in &digest.wanted {
                     teams.entry(team.clone()).or_default().wanted = *wanted;
                 }
+                for team in &digest.stuck {
+                    teams.entry(team.clone()).or_default().stuck = true;
+                }
                 (p, teams)
             })
             .collect();
