Split owner.rs and ledger.rs by concern; nothing changes in what they do

owner.rs: parts alone, beside lease.rs, batches.rs and errands.rs. ledger.rs: beside machine.rs, lend.rs and reach.rs. node.rs: its tests in a file of their own.

--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -2,7 +2,8 @@
 //! their finished tasks.
 
 use crate::config::Config;
-use crate::ledger::{Job, PartLedger, SlotState};
+use crate::ledger::{Job, PartLedger};
+use crate::machine::SlotState;
 use crate::room::Room;
 use pulleywood_wire::job::JobStatus;
 use pulleywood_wire::pack::{PackRecord, Packs};
--- a/crates/pulleywood-core/src/health.rs
+++ b/crates/pulleywood-core/src/health.rs
@@ -9,7 +9,8 @@
 //! machine is blamed for it.
 
 use crate::config::Config;
-use crate::ledger::{Job, PartLedger, SlotState};
+use crate::ledger::{Job, PartLedger};
+use crate::machine::SlotState;
 use pulleywood_wire::{JobId, MachineId, Moment};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -11,19 +11,18 @@
 
 use crate::config::Config;
 use crate::health::{Health, News};
+use crate::lend::bindings;
+use crate::machine::{Machine, Slot, SlotState};
 use crate::room::{Room, add};
 use pulleywood_wire::cbor::Amount;
 use pulleywood_wire::job::Shape;
-use pulleywood_wire::peer::Demand;
 use pulleywood_wire::record::{
     ChunkRecord, GrantRecord, JobRecord, Loan, MachineRecord, Slots, TaskSet,
 };
 use pulleywood_wire::time::secs;
 use pulleywood_wire::worker::{Cause, Order, Report, TaskReport, TaskState};
-use pulleywood_wire::{
-    Attempt, JobId, JobSpec, MachineId, Moment, PartId, Rank, Stamp, TaskId, Term,
-};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use pulleywood_wire::{Attempt, JobId, JobSpec, MachineId, Moment, PartId, Stamp, TaskId, Term};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -93,7 +92,7 @@
         }
     }
 
-    fn queue(&mut self) {
+    pub(crate) fn queue(&mut self) {
         let kept: Vec<u32> = self.waiting.iter().collect();
         for i in kept {
             self.queue_one(i);
@@ -130,190 +129,6 @@
     }
 }
 
-/// Where a slot stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SlotState {
-    /// The launch may have been sent in the answer to this report.
-    Sent {
-        /// The report's session.
-        session: u64,
-        /// The report's number.
-        seq: u64,
-    },
-    /// Waiting for its image.
-    Fetching,
-    /// Running.
-    Running,
-    /// Saving.
-    Saving,
-    /// Ended; kept until a report lacks it.
-    Exited {
-        /// Completed: cleared only after the commit.
-        done: bool,
-    },
-}
-
-/// One attempt on a machine.
-#[derive(Debug, Clone)]
-pub struct Slot {
-    /// The task.
-    pub task: TaskId,
-    /// The attempt.
-    pub attempt: Attempt,
-    /// Where it stands.
-    pub state: SlotState,
-    /// Its job's description; none for a job that is not live here.
-    pub spec: Option<Arc<JobSpec>>,
-    /// Told to stop, with this leeway.
-    pub halt: Option<f64>,
-    /// When it was launched or first seen.
-    pub since: Moment,
-    /// When it was first seen running.
-    pub running_since: Option<Moment>,
-}
-
-impl Slot {
-    /// Takes room on its machine.
-    pub fn holds_room(&self) -> bool {
-        !matches!(self.state, SlotState::Exited { .. })
-    }
-}
-
-/// A machine of the part.
-#[derive(Debug)]
-pub struct Machine {
-    /// Its record.
-    pub record: MachineRecord,
-    /// The record's stamp.
-    pub stamp: Stamp,
-    /// It reported under its present term: what it runs is known.
-    pub confirmed: bool,
-    /// It may hold tasks of an earlier owner that nobody has seen yet.
-    pub unheard: bool,
-    /// Newest message taken from it.
-    pub newest: (u64, u64),
-    /// When it joined.
-    pub joined: Moment,
-    /// Arrival of the last report.
-    pub heard: Option<Moment>,
-    /// Arrival of the last report that was answered.
-    pub answered: Option<Moment>,
-    /// Session and number of the last message taken when a report was last
-    /// answered.
-    pub awaits: Option<(u64, u64)>,
-    /// Since when answers do not reach its worker: its reports come, but none
-    /// of them follows the one answered before. It takes no launches and is no
-    /// room until one does.
-    pub deaf_since: Option<Moment>,
-    /// Since when its worker has not surely been in touch both ways.
-    pub lost_since: Moment,
-    /// When the cloud takes it away.
-    pub taken_at: Option<Moment>,
-    /// Attempts on it.
-    pub slots: Vec<Slot>,
-    /// Images it has, most recently used last.
-    pub images: VecDeque<(String, f64)>,
-    /// Since when it holds no task.
-    pub idle_since: Option<Moment>,
-    /// Jobs that failed here and run well elsewhere, and since when that is
-    /// known. A task that was started here since and completes clears them.
-    pub failed_jobs: BTreeMap<JobId, Moment>,
-    /// To be replaced.
-    pub unfit: bool,
-    /// Nothing is launched until then, so that it falls idle.
-    pub drain_until: Moment,
-    /// Nothing is launched: it is being moved or given back.
-    pub leaving: bool,
-}
-
-impl Machine {
-    /// The term its orders carry.
-    pub fn term(&self, part: Term) -> Term {
-        self.record.term.max(part)
-    }
-
-    /// No task holds or may hold room.
-    pub fn is_idle(&self) -> bool {
-        self.confirmed && self.slots.iter().all(|s| !s.holds_room())
-    }
-
-    /// Tasks of jobs that are not live here are still on it.
-    pub fn has_foreign(&self) -> bool {
-        self.slots
-            .iter()
-            .any(|s| s.spec.is_none() && s.holds_room())
-    }
-
-    /// Room left by all that holds or may hold some.
-    pub fn free(&self, whole: Room) -> Room {
-        let mut free = whole;
-        for slot in self.slots.iter().filter(|s| s.holds_room()) {
-            if let Some(spec) = &slot.spec {
-                free -= Room::of_task(spec);
-            }
-        }
-        free
-    }
-
-    /// Answers have not reached it for longer than one lost answer explains.
-    pub fn is_deaf(&self, now: Moment, config: &Config) -> bool {
-        let bound = config.report.mul_f64(2.5) + Duration::from_secs(1);
-        self.deaf_since.is_some_and(|at| now.since(at) > bound)
-    }
-
-    /// Whether it is being emptied.
-    pub fn drains(&self, now: Moment) -> bool {
-        now < self.drain_until
-    }
-
-    /// Room held by tasks that may not run on spot machines.
-    pub fn pinned(&self) -> Room {
-        let mut sum = Room::default();
-        for slot in self.slots.iter().filter(|s| s.holds_room()) {
-            if let Some(spec) = slot.spec.as_ref().filter(|s| !s.spot) {
-                sum += Room::of_task(spec);
-            }
-        }
-        sum
-    }
-
-    /// Room held by each rank, lowest first.
-    pub fn held(&self) -> Vec<(Rank, f64, f64, f64)> {
-        let mut held: BTreeMap<Rank, Room> = BTreeMap::new();
-        for slot in self.slots.iter().filter(|s| s.holds_room()) {
-            if let Some(spec) = &slot.spec {
-                *held.entry(spec.rank).or_default() += Room::of_task(spec);
-            }
-        }
-        held.into_iter()
-            .map(|(rank, r)| (rank, r.cpus, r.gpus, r.memory_gb))
-            .collect()
-    }
-
-    fn touch_image(&mut self, name: &str, gb: f64, cache_gb: f64) {
-        self.images.retain(|(n, _)| n != name);
-        self.images.push_back((name.to_owned(), gb));
-        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache_gb
-        {
-            self.images.pop_front();
-        }
-    }
-}
-
-/// Tasks of one job on offer to another part.
-#[derive(Debug)]
-pub struct Offer {
-    /// The job.
-    pub id: JobId,
-    /// The zone they are bound to.
-    pub zone: Option<String>,
-    /// The tasks.
-    pub tasks: TaskSet,
-}
-
-/// Most ranges of tasks that one offer adds to a record.
-const MAX_RANGES: u32 = 40;
-
 /// How a report was taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Taken {
@@ -1030,115 +845,6 @@
         self.disturb();
     }
 
-    /// Takes waiting tasks of one shape out of use, to lend them: by job, as
-    /// many as asked for. Last come, first lent.
-    pub fn offer(&mut self, like: &Demand) -> Vec<Offer> {
-        let mut left = like.count;
-        let mut jobs: Vec<(u64, JobId)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| {
-                job.may_be_lent()
-                    && !job.waiting.is_empty()
-                    && job.offered.is_empty()
-                    && !job.health.is_broken()
-                    && !self.may_run_unseen(job)
-                    && like.matches(&job.spec)
-            })
-            .map(|(id, job)| (job.at_ms, id.clone()))
-            .collect();
-        jobs.sort();
-        let mut offers = Vec::new();
-        while left > 0
-            && let Some((_, id)) = jobs.pop()
-        {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let spread = job.spec.spread && job.spec.tasks > 1;
-            let zone = match like.zones.as_slice() {
-                [zone] if spread => Some(zone.clone()),
-                _ if spread => continue,
-                _ => None,
-            };
-            // A task that is bound already keeps its zone.
-            let fits = |i: u32| match (&zone, job.bound.get(&i)) {
-                (Some(z), Some(bound)) => z == bound,
-                (None, Some(_)) => false,
-                _ => true,
-            };
-            let mut most = left;
-            if let Some(z) = &zone
-                && job.home == self.part
-            {
-                let there = self.by_zone(job).get(z).copied().unwrap_or(0);
-                most = most.min(job.spec.zone_limit().saturating_sub(there));
-            }
-            let mut tasks = TaskSet::new();
-            let mut ranges = 0;
-            let mut before = None;
-            for i in job.waiting.iter().filter(|&i| fits(i)) {
-                // The record must stay small however scattered they are.
-                ranges += u32::from(before != Some(i.wrapping_sub(1)));
-                if tasks.len() >= most || ranges > MAX_RANGES {
-                    break;
-                }
-                before = Some(i);
-                tasks.insert(i);
-            }
-            if tasks.is_empty() {
-                continue;
-            }
-            left -= tasks.len();
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.offered = tasks.clone();
-                job.offered_zone.clone_from(&zone);
-                job.queue();
-            }
-            offers.push(Offer { id, zone, tasks });
-        }
-        self.disturb();
-        offers
-    }
-
-    /// Tasks of a job by zone: those that run here, and those bound to a zone
-    /// in other parts or on their way there.
-    pub(crate) fn by_zone(&self, job: &Job) -> BTreeMap<String, u32> {
-        let mut zones = BTreeMap::new();
-        if !job.spec.one_zone && !job.spec.spread {
-            return zones;
-        }
-        for (id, _) in job.active.values() {
-            if let Some(machine) = self.machines.get(id) {
-                *zones.entry(machine.record.zone.clone()).or_insert(0) += 1;
-            }
-        }
-        for (zone, n) in &job.away {
-            *zones.entry(zone.clone()).or_insert(0) += n;
-        }
-        if let Some(zone) = &job.offered_zone {
-            *zones.entry(zone.clone()).or_insert(0) += job.offered.len();
-        }
-        zones
-    }
-
-    /// An offer was surely not stored.
-    pub fn withdraw_offer(&mut self, id: &JobId) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.settle_offer();
-        }
-        self.disturb();
-    }
-
-    /// It is not known whether an offer was stored, or will be: the record is
-    /// rewritten, which settles it either way.
-    pub fn doubt_offer(&mut self, id: &JobId) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.touch = true;
-            self.dirty_jobs.insert(id.clone());
-        }
-    }
-
     /// Whether the machine holds nothing and may leave the part.
     pub fn may_leave(&self, id: &MachineId) -> bool {
         self.machines
@@ -1151,30 +857,6 @@
         std::mem::take(&mut self.started)
     }
 
-    /// Whether its workers cannot reach this owner: some machines have been its
-    /// own for long enough, and none of them has been heard. If it were the
-    /// machines that are gone, another owner would lose nothing by them.
-    pub fn hears_nobody(&self, now: Moment, config: &Config) -> bool {
-        let bound = (config.report * 2 + Duration::from_secs(1)).max(config.lease.mul_f64(0.3));
-        self.silent_for(bound, now, config)
-    }
-
-    fn silent_for(&self, bound: Duration, now: Moment, config: &Config) -> bool {
-        const FEW: usize = 3;
-        let mut known = 0;
-        for machine in self.machines.values() {
-            if machine.heard.is_some_and(|at| now.since(at) < bound) {
-                return false;
-            }
-            // One that joined lately shows nothing yet. When it counted as heard,
-            // machines moved in every few seconds hid for 40 s that no worker
-            // reached this owner.
-            let quiet = now.since(machine.heard.unwrap_or(machine.joined));
-            known += usize::from(quiet >= bound && quiet < config.lease * 2);
-        }
-        known >= FEW
-    }
-
     /// Records of machines whose images have changed since they were written:
     /// one of the newest is missing, or one that is gone is named. A record may
     /// lack older ones, for which a rack had no room; written for them, it would
@@ -1275,54 +957,6 @@
     }
 }
 
-/// Whether workers reach an owner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
-    /// Some do, or there is nothing to tell by.
-    Some,
-    /// None has been heard for longer than a report interval: it may be about
-    /// to show that nobody does. Such an owner takes no other part, which would
-    /// wait there for nothing once more.
-    Unsure,
-    /// Nobody does.
-    Nobody,
-}
-
-/// Whether workers reach an owner of these parts. If those of one part do, the
-/// silence of another is not the owner's: its machines are cut off, or gone.
-pub fn reach<'a>(
-    parts: impl Iterator<Item = &'a PartLedger> + Clone,
-    now: Moment,
-    config: &Config,
-) -> Reach {
-    let soon = config.report.mul_f64(1.25) + Duration::from_millis(500);
-    let lately = |m: &Machine| m.heard.is_some_and(|at| now.since(at) < soon);
-    if parts.clone().flat_map(|p| p.machines.values()).any(lately) {
-        Reach::Some
-    } else if parts.clone().any(|p| p.hears_nobody(now, config)) {
-        Reach::Nobody
-    } else if parts.clone().any(|p| p.silent_for(soon, now, config)) {
-        Reach::Unsure
-    } else {
-        Reach::Some
-    }
-}
-
-/// What a record's loans bind to zones: this part's own, and others' by zone.
-fn bindings(record: &JobRecord, part: PartId) -> (BTreeMap<u32, String>, BTreeMap<String, u32>) {
-    let (mut bound, mut away) = (BTreeMap::new(), BTreeMap::new());
-    for loan in &record.lent {
-        let Some(zone) = &loan.zone else { continue };
-        let tasks = record.loan(loan);
-        if loan.part == part {
-            bound.extend(tasks.iter().map(|i| (i, zone.clone())));
-        } else {
-            *away.entry(zone.clone()).or_insert(0) += tasks.len();
-        }
-    }
-    (bound, away)
-}
-
 fn merge(job: &mut Job, done: &TaskSet) {
     for i in done.iter() {
         job.committed.insert(i);
--- a/crates/pulleywood-core/src/lib.rs
+++ b/crates/pulleywood-core/src/lib.rs
@@ -12,7 +12,10 @@
 pub mod health;
 pub mod home;
 pub mod ledger;
+pub mod lend;
+pub mod machine;
 pub mod place;
+pub mod reach;
 pub mod room;
 
 pub use config::Config;
--- /dev/null
+++ b/crates/pulleywood-core/src/machine.rs
@@ -0,0 +1,179 @@
+//! A machine of a part, and the attempts on it.
+
+use crate::config::Config;
+use crate::room::Room;
+use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::{Attempt, JobId, JobSpec, Moment, Rank, Stamp, TaskId, Term};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where a slot stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotState {
+    /// The launch may have been sent in the answer to this report.
+    Sent {
+        /// The report's session.
+        session: u64,
+        /// The report's number.
+        seq: u64,
+    },
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Saving.
+    Saving,
+    /// Ended; kept until a report lacks it.
+    Exited {
+        /// Completed: cleared only after the commit.
+        done: bool,
+    },
+}
+
+/// One attempt on a machine.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Where it stands.
+    pub state: SlotState,
+    /// Its job's description; none for a job that is not live here.
+    pub spec: Option<Arc<JobSpec>>,
+    /// Told to stop, with this leeway.
+    pub halt: Option<f64>,
+    /// When it was launched or first seen.
+    pub since: Moment,
+    /// When it was first seen running.
+    pub running_since: Option<Moment>,
+}
+
+impl Slot {
+    /// Takes room on its machine.
+    pub fn holds_room(&self) -> bool {
+        !matches!(self.state, SlotState::Exited { .. })
+    }
+}
+
+/// A machine of the part.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its record.
+    pub record: MachineRecord,
+    /// The record's stamp.
+    pub stamp: Stamp,
+    /// It reported under its present term: what it runs is known.
+    pub confirmed: bool,
+    /// It may hold tasks of an earlier owner that nobody has seen yet.
+    pub unheard: bool,
+    /// Newest message taken from it.
+    pub newest: (u64, u64),
+    /// When it joined.
+    pub joined: Moment,
+    /// Arrival of the last report.
+    pub heard: Option<Moment>,
+    /// Arrival of the last report that was answered.
+    pub answered: Option<Moment>,
+    /// Session and number of the last message taken when a report was last
+    /// answered.
+    pub awaits: Option<(u64, u64)>,
+    /// Since when answers do not reach its worker: its reports come, but none
+    /// of them follows the one answered before. It takes no launches and is no
+    /// room until one does.
+    pub deaf_since: Option<Moment>,
+    /// Since when its worker has not surely been in touch both ways.
+    pub lost_since: Moment,
+    /// When the cloud takes it away.
+    pub taken_at: Option<Moment>,
+    /// Attempts on it.
+    pub slots: Vec<Slot>,
+    /// Images it has, most recently used last.
+    pub images: VecDeque<(String, f64)>,
+    /// Since when it holds no task.
+    pub idle_since: Option<Moment>,
+    /// Jobs that failed here and run well elsewhere, and since when that is
+    /// known. A task that was started here since and completes clears them.
+    pub failed_jobs: BTreeMap<JobId, Moment>,
+    /// To be replaced.
+    pub unfit: bool,
+    /// Nothing is launched until then, so that it falls idle.
+    pub drain_until: Moment,
+    /// Nothing is launched: it is being moved or given back.
+    pub leaving: bool,
+}
+
+impl Machine {
+    /// The term its orders carry.
+    pub fn term(&self, part: Term) -> Term {
+        self.record.term.max(part)
+    }
+
+    /// No task holds or may hold room.
+    pub fn is_idle(&self) -> bool {
+        self.confirmed && self.slots.iter().all(|s| !s.holds_room())
+    }
+
+    /// Tasks of jobs that are not live here are still on it.
+    pub fn has_foreign(&self) -> bool {
+        self.slots
+            .iter()
+            .any(|s| s.spec.is_none() && s.holds_room())
+    }
+
+    /// Room left by all that holds or may hold some.
+    pub fn free(&self, whole: Room) -> Room {
+        let mut free = whole;
+        for slot in self.slots.iter().filter(|s| s.holds_room()) {
+            if let Some(spec) = &slot.spec {
+                free -= Room::of_task(spec);
+            }
+        }
+        free
+    }
+
+    /// Answers have not reached it for longer than one lost answer explains.
+    pub fn is_deaf(&self, now: Moment, config: &Config) -> bool {
+        let bound = config.report.mul_f64(2.5) + Duration::from_secs(1);
+        self.deaf_since.is_some_and(|at| now.since(at) > bound)
+    }
+
+    /// Whether it is being emptied.
+    pub fn drains(&self, now: Moment) -> bool {
+        now < self.drain_until
+    }
+
+    /// Room held by tasks that may not run on spot machines.
+    pub fn pinned(&self) -> Room {
+        let mut sum = Room::default();
+        for slot in self.slots.iter().filter(|s| s.holds_room()) {
+            if let Some(spec) = slot.spec.as_ref().filter(|s| !s.spot) {
+                sum += Room::of_task(spec);
+            }
+        }
+        sum
+    }
+
+    /// Room held by each rank, lowest first.
+    pub fn held(&self) -> Vec<(Rank, f64, f64, f64)> {
+        let mut held: BTreeMap<Rank, Room> = BTreeMap::new();
+        for slot in self.slots.iter().filter(|s| s.holds_room()) {
+            if let Some(spec) = &slot.spec {
+                *held.entry(spec.rank).or_default() += Room::of_task(spec);
+            }
+        }
+        held.into_iter()
+            .map(|(rank, r)| (rank, r.cpus, r.gpus, r.memory_gb))
+            .collect()
+    }
+
+    pub(crate) fn touch_image(&mut self, name: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(n, _)| n != name);
+        self.images.push_back((name.to_owned(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache_gb
+        {
+            self.images.pop_front();
+        }
+    }
+}
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -6,7 +6,8 @@
 //! within a guarantee.
 
 use crate::config::Config;
-use crate::ledger::{Job, PartLedger, Slot, SlotState};
+use crate::ledger::{Job, PartLedger};
+use crate::machine::{Slot, SlotState};
 use crate::room::{MOST_TASKS, Room, add, within};
 use pulleywood_wire::job::{Rank, Shape};
 use pulleywood_wire::record::Slots;
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::*;
-use pulleywood_core::ledger::{Reach, Taken, reach};
+use pulleywood_core::ledger::Taken;
+use pulleywood_core::reach::{Reach, reach};
 use pulleywood_wire::pack::Packs;
 use pulleywood_wire::worker::{Cause, Order, TaskState};
 use pulleywood_wire::{Attempt, Shape, Stamp, Term};
--- /dev/null
+++ b/crates/pulleywood/src/batches.rs
@@ -0,0 +1,262 @@
+//! Done batches and other records that an owner writes by and by.
+
+use crate::node::Shared;
+use crate::owner::job_entry;
+use hdrhistogram::Histogram;
+use pulleywood_core::health::News;
+use pulleywood_core::ledger::Started;
+use pulleywood_net::state::Outcome;
+use pulleywood_net::{Class, StateError};
+use pulleywood_wire::record::{job_key, part_key};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::{JobId, Moment, PartId, Stamp};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long tasks waited for their launch and then for their image, by class,
+/// for the log.
+struct Waits {
+    since: Moment,
+    classes: BTreeMap<String, [Histogram<u32>; 2]>,
+}
+
+impl Waits {
+    fn new(since: Moment) -> Self {
+        Self {
+            since,
+            classes: BTreeMap::new(),
+        }
+    }
+
+    fn add(&mut self, started: Vec<Started>) {
+        const HIGHEST_MS: u64 = 86_400_000;
+        for s in started {
+            log::debug!(
+                "{} runs, {:.1} s after its launch",
+                s.task,
+                s.fetched.as_secs_f64()
+            );
+            let new = || Histogram::new_with_max(HIGHEST_MS, 2).ok();
+            if !self.classes.contains_key(&s.class)
+                && let (Some(a), Some(b)) = (new(), new())
+            {
+                self.classes.insert(s.class.clone(), [a, b]);
+            }
+            if let Some([waited, fetched]) = self.classes.get_mut(&s.class) {
+                waited.saturating_record(s.waited.as_millis() as u64);
+                fetched.saturating_record(s.fetched.as_millis() as u64);
+            }
+        }
+    }
+
+    fn log(&mut self, now: Moment) {
+        const EVERY: Duration = Duration::from_secs(30);
+        if now.since(self.since) < EVERY {
+            return;
+        }
+        self.since = now;
+        for (class, [waited, fetched]) in std::mem::take(&mut self.classes) {
+            let s = |h: &Histogram<u32>, q| h.value_at_quantile(q) as f64 / 1000.0;
+            log::info!(
+                "{class}: {} tasks started; launched after {:.1} s (p50) {:.1} s (p90), ran {:.1} s (p50) {:.1} s (p90) later",
+                waited.len(),
+                s(&waited, 0.5),
+                s(&waited, 0.9),
+                s(&fetched, 0.5),
+                s(&fetched, 0.9),
+            );
+        }
+    }
+}
+
+/// Lets time pass in the ledgers and commits done batches; runs for the life
+/// of the process.
+pub fn run(shared: &Arc<Shared>) {
+    let mut waits = Waits::new(shared.clock.now());
+    let mut images_at = shared.clock.now();
+    loop {
+        std::thread::sleep(Duration::from_millis(200));
+        let now = shared.clock.now();
+        let mut news = Vec::new();
+        let parts: Vec<(PartId, bool)> = {
+            let mut node = shared.node.lock();
+            let config = Arc::clone(&node.config);
+            for owned in node.owned.values_mut().filter(|o| o.loaded) {
+                owned.ledger.tick(now, &config);
+                waits.add(owned.ledger.take_started());
+                news.extend(owned.ledger.take_news());
+            }
+            waits.log(now);
+            tell(news);
+            if !node.may_act(now) {
+                continue;
+            }
+            node.owned
+                .iter()
+                .filter(|(_, o)| o.loaded)
+                .filter_map(|(p, o)| Some((*p, o.ledger.has_batch(now, &node.config)?)))
+                .collect()
+        };
+        for (part, urgent) in parts {
+            let class = if urgent { Class::Done } else { Class::House };
+            flush_part(shared, part, class, now);
+        }
+        if now.since(images_at) >= IMAGES_EVERY {
+            images_at = now;
+            write_images(shared);
+        }
+    }
+}
+
+/// Logs what was learnt of jobs and machines.
+fn tell(news: Vec<News>) {
+    for news in news {
+        match news {
+            News::Broken(id) => {
+                log::info!("{id} fails on several machines and runs on none: held back");
+            }
+            News::Runs(id) => log::info!("{id} runs after all: no longer held back"),
+            News::Unfit(id) => log::info!("{id} fails jobs that run elsewhere: to be replaced"),
+            News::Fit(id) => log::info!("{id} runs again what it failed: kept"),
+        }
+    }
+}
+
+const IMAGES_EVERY: Duration = Duration::from_secs(5);
+
+/// Writes which images machines have, when nothing more urgent needs the
+/// tokens.
+fn write_images(shared: &Arc<Shared>) {
+    let batches: Vec<_> = {
+        let node = shared.node.lock();
+        let (ops, bytes) = (node.config.batch_ops, node.config.rack_bytes());
+        let held = node.owned.iter();
+        held.filter(|(_, o)| o.loaded && !o.leaving)
+            .filter_map(|(part, o)| {
+                let mut edits = BTreeMap::new();
+                let mut touched = BTreeSet::new();
+                for (id, record) in o.ledger.new_images() {
+                    let Some(n) = node.view.racks.find(&id) else {
+                        continue;
+                    };
+                    if touched.len() <= ops / 2 || touched.contains(&n) {
+                        touched.insert(n);
+                        edits.insert(id, Some(record));
+                    }
+                }
+                let commit = Commit::default().when(part_key(*part), o.stamp);
+                let (commit, racks) = node.view.racks.change(commit, &edits, bytes);
+                (!racks.is_empty()).then_some((*part, commit, racks))
+            })
+            .collect()
+    };
+    for (part, commit, racks) in batches {
+        match shared.state.commit(Class::House, &commit) {
+            Ok(Outcome::Applied(stamp)) => {
+                let now = shared.clock.now();
+                shared.node.lock().put_racks(racks, stamp, now);
+            }
+            // The watch brings what is stored; the next round tries again.
+            other => log::debug!("images of part {part}: {other:?}"),
+        }
+    }
+}
+
+fn flush_part(shared: &Arc<Shared>, part: PartId, class: Class, now: Moment) {
+    let batch = {
+        let node = shared.node.lock();
+        let config = &node.config;
+        node.owned
+            .get(&part)
+            .filter(|_| node.may_act(now))
+            .and_then(|o| {
+                let packs = &node.view.packs;
+                Some((o.ledger.batch(o.stamp, packs, now, config)?, o.stamp))
+            })
+    };
+    let Some((batch, part_stamp)) = batch else {
+        return;
+    };
+    match shared.state.commit(class, &batch.commit) {
+        Ok(Outcome::Applied(stamp)) => {
+            let mut node = shared.node.lock();
+            if let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) {
+                owned.ledger.batch_applied(&batch, stamp);
+            }
+            for job in &batch.jobs {
+                match job.over {
+                    Some(_) => node.end_job(&job.id, stamp),
+                    None => node.own_record(&job.id, stamp),
+                }
+            }
+            node.left_packs(batch.packs, stamp, now);
+            drop(node);
+            for job in &batch.jobs {
+                let (id, n) = (&job.id, job.tasks.len());
+                if let Some(over) = &job.over {
+                    // Its user asks next; the answer needs no read.
+                    shared.finals.lock().put(id, over.clone());
+                }
+                let all = if job.over.is_some() {
+                    ", all of them"
+                } else {
+                    ""
+                };
+                log::debug!("part {part}: {n} tasks of {id} done{all}");
+            }
+        }
+        // A conflict, or no answer: what is stored decides, not what was sent.
+        Ok(Outcome::Conflict) | Err(StateError::Unknown(_)) => {
+            log::debug!("part {part}: done batch not confirmed, reading again");
+            // What is in a pack is told by the watch.
+            let packed = |id: &JobId| {
+                let node = shared.node.lock();
+                let owned = node.owned.get(&part);
+                owned
+                    .and_then(|o| o.ledger.jobs.get(id))
+                    .is_some_and(|j| j.packed)
+            };
+            for job in batch.jobs.iter().filter(|j| !packed(&j.id)) {
+                if let Err(e) = refresh_job(shared, part, part_stamp, &job.id) {
+                    log::debug!("reading {}: {e}", job.id);
+                }
+            }
+        }
+        Err(e) => log::debug!("part {part}: done batch: {e}"),
+    }
+}
+
+/// Brings one job's record up to what is stored.
+fn refresh_job(
+    shared: &Arc<Shared>,
+    part: PartId,
+    part_stamp: Stamp,
+    id: &JobId,
+) -> Result<(), StateError> {
+    let parts = shared.node.lock().config.parts;
+    let key = job_key(id.part(parts), id);
+    let (items, _) = shared.state.list(Class::Owner, &key)?;
+    let now = shared.clock.now();
+    let mut node = shared.node.lock();
+    let config = Arc::clone(&node.config);
+    // The watch may have brought its end while it was read.
+    let known = node.view.jobs.contains_key(id);
+    let Some(owned) = node.owned.get_mut(&part).filter(|o| o.stamp == part_stamp) else {
+        return Ok(());
+    };
+    let mut live = false;
+    for item in &items {
+        if let Some((job, entry)) = job_entry(item)
+            && job == *id
+            && known
+        {
+            live = true;
+            owned.job_event(id, &entry, item.stamp, false, now, &config);
+        }
+    }
+    if !live {
+        owned.ledger.drop_job(id);
+    }
+    Ok(())
+}
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -4,7 +4,7 @@
 use crate::follow::Reads;
 use crate::intake::{self, Intake};
 use crate::node::{Finals, Node, Shared};
-use crate::{adopt, coordinator, follow, owner, peers, users, workers};
+use crate::{adopt, batches, coordinator, follow, lease, owner, peers, users, workers};
 use parking_lot::{Condvar, Mutex};
 use pulleywood_core::Config;
 use pulleywood_core::config::Policy;
@@ -127,9 +127,9 @@
             ("borrow", peers::borrow),
             ("intake", intake::run),
             ("adopt", adopt::run),
-            ("renew", owner::renew),
+            ("renew", lease::renew),
             ("parts", owner::hold_parts),
-            ("flush", owner::flush),
+            ("flush", batches::run),
             ("fleet", coordinator::run),
         ];
         for (name, body) in threads {
--- /dev/null
+++ b/crates/pulleywood/src/errands.rs
@@ -0,0 +1,209 @@
+//! What the coordinator asks of an owner: waiting tasks lent, machines let go.
+
+use crate::node::{Shared, read};
+use crate::owner::newest_term;
+use pulleywood_core::lend::Offer;
+use pulleywood_net::state::Outcome;
+use pulleywood_net::{Class, StateError};
+use pulleywood_wire::peer::Demand;
+use pulleywood_wire::rack::RackRecord;
+use pulleywood_wire::record::{MachineRecord, TERM, TermRecord, job_key, part_key, rack_key};
+use pulleywood_wire::state::Commit;
+use pulleywood_wire::{MachineId, PartId, Stamp, Term};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Lending goes on for this long at a time.
+const LEND_TIME: Duration = Duration::from_millis(1000);
+
+/// Lends waiting tasks of a part held here to another part. The shrunken
+/// share is committed before the other part can see its larger one.
+pub fn lend(shared: &Arc<Shared>, from: PartId, to: PartId, like: &Demand) -> bool {
+    let now = shared.clock.now();
+    let prepared = {
+        let mut node = shared.node.lock();
+        if !node.may_act(now) {
+            return false;
+        }
+        let config = Arc::clone(&node.config);
+        let node = &mut *node;
+        let Some(owned) = node.owned.get_mut(&from).filter(|o| o.loaded && !o.leaving) else {
+            return false;
+        };
+        let offers = owned.ledger.offer(like);
+        let mut commits = Vec::new();
+        for Offer { id, zone, tasks } in offers {
+            let Some(job) = owned.ledger.jobs.get(&id) else {
+                continue;
+            };
+            let mut record = job.record(job.committed.chunk_text(0, config.chunk));
+            record.lend(to, zone.as_deref(), &tasks);
+            let key = job_key(id.part(config.parts), &id);
+            let mut commit = Commit::default()
+                .when(part_key(from), owned.stamp)
+                .when(key.clone(), if job.packed { Stamp(0) } else { job.stamp })
+                .write(key, &record);
+            let mut packs = Vec::new();
+            if job.packed {
+                let out = BTreeSet::from([id.clone()]);
+                (commit, packs) = node.view.packs.take_out(commit, &out);
+                if packs.is_empty() {
+                    // It has left its pack; the watch is about to say how.
+                    owned.ledger.withdraw_offer(&id);
+                    continue;
+                }
+            }
+            commits.push((id, record, commit, packs));
+        }
+        commits
+    };
+    let mut lent = false;
+    let end = now + LEND_TIME;
+    for (id, record, commit, packs) in prepared {
+        let outcome = match shared.clock.now() < end {
+            true => shared.state.commit(Class::House, &commit),
+            // Whoever asked has stopped waiting.
+            false => Err(StateError::Budget(Duration::ZERO)),
+        };
+        let now = shared.clock.now();
+        let mut node = shared.node.lock();
+        match outcome {
+            Ok(Outcome::Applied(stamp)) => {
+                node.put_job(&record, stamp, now);
+                node.left_packs(packs, stamp, now);
+                lent = true;
+            }
+            outcome => {
+                let Some(owned) = node.owned.get_mut(&from) else {
+                    continue;
+                };
+                match outcome {
+                    Err(StateError::Unknown(_)) => owned.ledger.doubt_offer(&id),
+                    // Not applied, and never will be.
+                    _ => owned.ledger.withdraw_offer(&id),
+                }
+            }
+        }
+    }
+    lent
+}
+
+/// The transaction that moves or retires a machine of a part held here.
+pub fn let_go(shared: &Arc<Shared>, id: &MachineId, to: Option<PartId>) -> bool {
+    let now = shared.clock.now();
+    let Ok((term, term_stamp)) = (if to.is_some() {
+        newest_term(shared)
+    } else {
+        Ok(Default::default())
+    }) else {
+        return false;
+    };
+    let prepared = {
+        let mut node = shared.node.lock();
+        if !node.may_act(now) {
+            return false;
+        }
+        let node = &mut *node;
+        let bytes = node.config.rack_bytes();
+        let racks = &node.view.racks;
+        node.owned.iter_mut().find_map(|(part, owned)| {
+            if !owned.loaded || owned.leaving || !owned.ledger.may_leave(id) {
+                return None;
+            }
+            let machine = owned.ledger.machines.get_mut(id)?;
+            machine.leaving = true;
+            let mut next = machine.record.clone();
+            owned.ledger.disturb();
+            let mut commit = Commit::default().when(part_key(*part), owned.stamp);
+            match to {
+                Some(to) => {
+                    next.part = to;
+                    next.term = Term(term.0 + 1);
+                    let record = TermRecord { last: next.term };
+                    commit = commit.when(TERM, term_stamp).write(TERM, &record);
+                }
+                None => next.retiring = true,
+            }
+            let edits = BTreeMap::from([(id.clone(), Some(next))]);
+            let (commit, after) = racks.change(commit, &edits, bytes);
+            Some((*part, owned.stamp, commit, after))
+        })
+    };
+    let Some((part, part_stamp, commit, after)) = prepared else {
+        return false;
+    };
+    if after.is_empty() {
+        stay(shared, part, id);
+        return false;
+    }
+    let outcome = shared.state.commit(Class::House, &commit);
+    let now = shared.clock.now();
+    match outcome {
+        Ok(Outcome::Applied(stamp)) => {
+            shared.node.lock().put_racks(after, stamp, now);
+            log::info!("part {part} let {id} go: {to:?}");
+            true
+        }
+        Ok(Outcome::Conflict)
+        | Err(StateError::NotSent(_) | StateError::Refused(_) | StateError::Budget(_)) => {
+            stay(shared, part, id);
+            false
+        }
+        Err(_) => {
+            // It may be applied minutes from now. Until a newer write fences
+            // it off, the machine stays out of use.
+            fence_machine(shared, part, part_stamp, id);
+            false
+        }
+    }
+}
+
+fn stay(shared: &Shared, part: PartId, id: &MachineId) {
+    let mut node = shared.node.lock();
+    if let Some(owned) = node.owned.get_mut(&part)
+        && let Some(machine) = owned.ledger.machines.get_mut(id)
+    {
+        machine.leaving = machine.record.retiring;
+        owned.ledger.disturb();
+    }
+}
+
+/// Rewrites a machine's rack as it is, so that an older transaction that was
+/// never answered can no longer be applied.
+fn fence_machine(shared: &Arc<Shared>, part: PartId, part_stamp: Stamp, id: &MachineId) {
+    for _ in 0..10 {
+        std::thread::sleep(Duration::from_millis(500));
+        let Some(n) = shared.node.lock().view.racks.find(id) else {
+            return;
+        };
+        let key = rack_key(n);
+        let Ok(item) = shared.state.get(Class::Owner, &key) else {
+            continue;
+        };
+        let now = shared.clock.now();
+        let Some(item) = item else {
+            return;
+        };
+        let Some(rack) = read::<RackRecord>(Some(&item.value), &key) else {
+            return;
+        };
+        let ours = |r: &MachineRecord| r.part == part && !r.retiring;
+        if !rack.machines.get(id).is_some_and(ours) {
+            let mut node = shared.node.lock();
+            node.put_racks(vec![(n, Some(rack))], item.stamp, now);
+            return;
+        }
+        let commit = Commit::default()
+            .when(key.clone(), item.stamp)
+            .when(part_key(part), part_stamp)
+            .write(key, &rack);
+        if let Ok(Outcome::Applied(stamp)) = shared.state.commit(Class::Owner, &commit) {
+            let mut node = shared.node.lock();
+            node.put_racks(vec![(n, Some(rack))], stamp, now);
+            drop(node);
+            stay(shared, part, id);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pulleywood/src/lease.rs
@@ -0,0 +1,105 @@
+//! The lease that all keys held by this controller are attached to.
+
+use crate::node::{Shared, read};
+use pulleywood_net::{Class, StateError};
+use pulleywood_wire::Stamp;
+use pulleywood_wire::record::{Holder, part_key};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Keeps the lease renewed; runs for the life of the process.
+pub fn renew(shared: &Arc<Shared>) {
+    end_former_lease(shared);
+    loop {
+        let (permit, ttl) = {
+            let node = shared.node.lock();
+            (node.lease.permit, shared.ttl(&node))
+        };
+        let sent = shared.clock.now();
+        let result = match permit {
+            None => shared.state.grant(ttl).map(Some),
+            Some(permit) => shared
+                .state
+                .renew(permit, (ttl / 3).min(Duration::from_millis(1200)))
+                .map(|()| None),
+        };
+        let pause = match result {
+            Ok(new) => {
+                let mut node = shared.node.lock();
+                if new.is_some() {
+                    node.lease.permit = new;
+                }
+                node.lease.renewed = sent;
+                ttl / 5
+            }
+            Err(StateError::NoLease) => {
+                log::info!("the lease ran out: its parts are gone");
+                let mut node = shared.node.lock();
+                node.lease.permit = None;
+                node.owned.clear();
+                Duration::from_millis(50)
+            }
+            Err(e) => {
+                log::debug!("lease: {e}");
+                Duration::from_millis(250)
+            }
+        };
+        // Jittered, so that renewals do not come back together after a stall.
+        std::thread::sleep(pause.mul_f64(0.85 + 0.3 * fastrand::f64()));
+    }
+}
+
+/// A restarted process ends the lease of its former self, which is dead, so
+/// that its parts need not wait it out.
+fn end_former_lease(shared: &Arc<Shared>) {
+    loop {
+        let holder = {
+            let node = shared.node.lock();
+            node.viewed.then(|| {
+                let mine =
+                    |h: &&(Holder, Stamp)| h.0.member == shared.me && h.0.boot != shared.boot;
+                let part = node.view.parts.iter().find(|(_, h)| mine(h));
+                part.map(|(p, _)| part_key(*p)).or_else(|| {
+                    node.view
+                        .role
+                        .as_ref()
+                        .filter(mine)
+                        .map(|_| pulleywood_wire::record::ROLE.to_owned())
+                })
+            })
+        };
+        let key = match holder {
+            None => {
+                std::thread::sleep(Duration::from_millis(20));
+                continue;
+            }
+            Some(None) => return,
+            Some(Some(key)) => key,
+        };
+        let ended = shared
+            .state
+            .get(Class::Lease, &key)
+            .and_then(|item| match item {
+                Some(item) => {
+                    // Another may have taken the key since.
+                    let mine = read::<Holder>(Some(&item.value), &key)
+                        .is_some_and(|h| h.member == shared.me && h.boot != shared.boot);
+                    match item.permit.filter(|_| mine) {
+                        Some(permit) => shared.state.end(permit),
+                        None => Ok(()),
+                    }
+                }
+                None => Ok(()),
+            });
+        match ended {
+            Ok(()) => {
+                log::info!("ended the lease of this controller's former process");
+                return;
+            }
+            Err(e) => {
+                log::debug!("former lease: {e}");
+                std::thread::sleep(Duration::from_millis(300));
+            }
+        }
+    }
+}
--- a/crates/pulleywood/src/lib.rs
+++ b/crates/pulleywood/src/lib.rs
@@ -5,12 +5,15 @@
 //! the same name runs it as a daemon.
 
 mod adopt;
+mod batches;
 mod clock;
 mod controller;
 mod coordinator;
 mod desk;
+mod errands;
 mod follow;
 mod intake;
+mod lease;
 mod node;
 mod owner;
 mod pace;
--- /dev/null
+++ b/crates/pulleywood/src/node/tests.rs
@@ -0,0 +1,282 @@
+//! What a controller takes from the watch, its own transactions and its peers.
+
+use super::*;
+use pulleywood_core::config::Policy;
+use std::time::Duration;
+
+fn at(s: u64) -> Moment {
+    Moment(1_000_000 + s * 1000)
+}
+
+fn node() -> Node {
+    let settings: Settings = serde_json::from_value(serde_json::json!({
+        "member": "c-0", "domain": "a",
+        "serve_on": "127.0.0.1:1", "cluster_listen": "127.0.0.1:2", "seeds": [],
+        "services": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+        "cluster": {
+            "initial_size": 2, "zones": ["a"], "teams": [],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 40.0},
+            "state": {"rps": 100.0, "write_rps": 20, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 2.0, "list_lag_s": 5.0},
+            "resources": {"cores": 0.1, "ram_mb": 64.0, "max_sockets": 500}
+        }
+    }))
+    .unwrap();
+    let policy = Policy::defaults(&settings);
+    Node::new(Config::new(&settings, policy))
+}
+
+fn digest(boot: u64, seq: u64, serving: Vec<(PartId, Term)>) -> Digest {
+    Digest {
+        member: "c-1".into(),
+        boot,
+        seq,
+        state_ok: true,
+        fit: true,
+        refusing: false,
+        serving,
+        parts: vec![],
+    }
+}
+
+/// Holds part 0 since second 10, after process 7 of `c-1` under term 3.
+fn taken(node: &mut Node) {
+    let until = at(10) + node.config.silent_span();
+    let ledger = PartLedger::new(PartId(0), Term(4), until, vec![]);
+    let before = Holder {
+        member: "c-1".into(),
+        boot: 7,
+        term: Term(3),
+    };
+    let owned = Owned {
+        ledger,
+        stamp: Stamp(40),
+        loaded: true,
+        held: vec![],
+        leaving: false,
+        taken: at(10),
+        settled: None,
+        before: Some(before),
+    };
+    node.owned.insert(PartId(0), owned);
+}
+
+#[test]
+fn only_an_answer_asked_for_since_proves_that_the_old_owner_stopped() {
+    // A digest from before it held the part says the same as one from after
+    // it stopped, and the network may bring it late.
+    let lapsed = at(11) + node().config.surely_lapsed();
+    let full = at(10) + node().config.silent_span();
+    type Say = fn(&mut Node);
+    let cases: [(&str, Say, Moment); 4] = [
+        (
+            "a digest",
+            |n| n.take_digest(digest(7, 1, vec![]), at(11)),
+            full,
+        ),
+        (
+            "an answer asked for before the take-over",
+            |n| n.confirm(&"c-1".into(), at(9), at(11), &[]),
+            full,
+        ),
+        (
+            "it still answers workers",
+            |n| n.confirm(&"c-1".into(), at(11), at(11), &[(PartId(0), Term(3))]),
+            full,
+        ),
+        (
+            "it does not",
+            |n| n.confirm(&"c-1".into(), at(11), at(11), &[]),
+            lapsed,
+        ),
+    ];
+    for (name, say, expected) in cases {
+        let mut node = node();
+        taken(&mut node);
+        say(&mut node);
+        assert_eq!(
+            node.owned[&PartId(0)].ledger.silent_until,
+            expected,
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn late_copies_of_digests_are_dropped() {
+    // (process, number, taken)
+    let cases = [
+        (7, 5, true),
+        (7, 5, false),
+        (7, 4, false),
+        (8, 1, true),
+        (7, 9, false),
+        (8, 2, true),
+    ];
+    let mut node = node();
+    for (n, (boot, seq, expected)) in cases.into_iter().enumerate() {
+        let now = at(n as u64);
+        node.take_digest(digest(boot, seq, vec![]), now);
+        let newest = &node.digests[&MemberId::from("c-1")];
+        assert_eq!(newest.1 == now, expected, "{boot}/{seq}");
+    }
+}
+
+#[test]
+fn a_machine_that_was_read_is_not_dropped_for_an_older_record() {
+    // (stamp of the part's record, of the watched one of another part, kept)
+    for (read, watched, kept) in [(50, 45, true), (50, 50, true), (50, 51, false)] {
+        let mut node = node();
+        taken(&mut node);
+        let id = MachineId::from("vm-1");
+        let record = |part| MachineRecord {
+            part: PartId(part),
+            term: Term(3),
+            flavor: "f".into(),
+            zone: "a".into(),
+            spot: false,
+            endpoint: "10.0.0.1:1".into(),
+            retiring: false,
+            images: vec![],
+        };
+        let ledger = &mut node.owned.get_mut(&PartId(0)).unwrap().ledger;
+        ledger.put_machine(&id, record(0), Stamp(read), true, at(10));
+        let rack = RackRecord {
+            machines: BTreeMap::from([(id.clone(), record(1))]),
+        };
+        node.put_racks(vec![(1, Some(rack))], Stamp(watched), at(11));
+        let ledger = &node.owned[&PartId(0)].ledger;
+        let unheard = ledger.machines.get(&id).is_some_and(|m| m.unheard);
+        assert_eq!(unheard, kept, "{read} {watched}");
+    }
+}
+
+fn event(write: bool, path: &str, value: impl serde::Serialize, stamp: u64) -> Event {
+    let value = cbor::to_value(&value);
+    Event {
+        write: write.then(|| path.to_owned()),
+        delete: (!write).then(|| path.to_owned()),
+        value: write.then_some(value),
+        stamp: Stamp(stamp),
+    }
+}
+
+fn record(n: u64) -> JobRecord {
+    let spec = serde_json::json!({
+        "uid": format!("j-{n:06}"), "lane": "c", "crew": "red", "shape": "service",
+        "rank": "standard", "legs": 1, "vcpus": 1.0, "cards": 0.0, "mem_gb": 1.0,
+        "cargo": "img", "size_gb": 0.0, "rigs": null, "yard": null,
+        "same_place": false, "apart": false, "loaner": false, "haul_s": 0.0,
+        "waypoint_s": 0.0, "stow_s": 0.0, "due_s": null,
+    });
+    JobRecord {
+        spec: serde_json::from_value(spec).unwrap(),
+        at_ms: 0,
+        part: PartId(0),
+        lent: vec![],
+        done: String::new(),
+    }
+}
+
+#[test]
+fn answers_to_own_transactions_bring_nothing_back_that_the_watch_has_passed() {
+    // A job is accepted at revision 50 and cancelled through another
+    // controller at 51. The answer to the first may come last.
+    for late in [false, true] {
+        let mut node = node();
+        taken(&mut node);
+        let job = record(1);
+        let id = job.spec.id.clone();
+        let key = pulleywood_wire::record::job_key(id.part(2), &id);
+        if !late {
+            node.put_job(&job, Stamp(50), at(11));
+            assert!(node.is_live(&id));
+        }
+        node.event(event(true, &key, &job, 50), at(11));
+        node.event(event(false, &key, 0, 51), at(11));
+        node.complete(51, at(11));
+        if late {
+            node.put_job(&job, Stamp(50), at(12));
+            node.own_record(&id, Stamp(50));
+        }
+        assert!(!node.is_live(&id), "late: {late}");
+        let ledger = &node.owned[&PartId(0)].ledger;
+        assert!(!ledger.jobs.contains_key(&id), "late: {late}");
+    }
+    // A pack and a rack at 60, the next of another controller at 61.
+    for late in [false, true] {
+        let mut node = node();
+        let (mine, next) = (PackHead { last: 1 }, PackHead { last: 2 });
+        let pack = PackRecord {
+            jobs: vec![record(2)],
+        };
+        let say = |node: &mut Node| {
+            node.wrote_pack(mine, pack.clone(), Stamp(60), at(12));
+            let rack = (1, Some(RackRecord::default()));
+            node.wrote_rack(mine, rack, Stamp(60), at(12));
+        };
+        if !late {
+            say(&mut node);
+        }
+        for head in [
+            pulleywood_wire::record::HEAD,
+            pulleywood_wire::record::RACKS,
+        ] {
+            node.event(event(true, head, mine, 60), at(12));
+            node.event(event(true, head, next, 61), at(12));
+        }
+        let key = pulleywood_wire::record::pack_key(1);
+        node.event(event(true, &key, &pack, 60), at(12));
+        node.event(event(false, &key, 0, 61), at(12));
+        node.complete(61, at(12));
+        if late {
+            say(&mut node);
+        }
+        assert_eq!(node.view.head, (next, Stamp(61)), "late: {late}");
+        assert_eq!(node.view.rack_head, (next, Stamp(61)), "late: {late}");
+        assert!(!node.is_live(&record(2).spec.id), "late: {late}");
+    }
+}
+
+#[test]
+fn a_part_whose_key_changed_is_no_longer_held() {
+    for (stamp, held) in [(39, true), (40, true), (41, false)] {
+        let mut node = node();
+        taken(&mut node);
+        let event = Event {
+            write: None,
+            delete: Some("c/part/0".into()),
+            value: None,
+            stamp: Stamp(stamp),
+        };
+        node.event(event, at(12));
+        assert_eq!(node.owned.contains_key(&PartId(0)), held, "{stamp}");
+    }
+}
+
+#[test]
+fn workers_are_answered_only_while_a_cancellation_can_still_be_obeyed() {
+    // Out of contact since second 0; a worker lapses a lease after the
+    // last answer, and a cancellation told elsewhere has cancel_s.
+    let mut node = node();
+    node.viewed = true;
+    node.lease.permit = Some(Permit(1));
+    node.lease.renewed = at(0);
+    node.caught_up = at(0);
+    let (lease, cancel) = (node.config.lease, node.config.cancel);
+    let last = (0..100_000)
+        .map(|ms| at(0) + Duration::from_millis(ms))
+        .take_while(|&t| node.may_answer(t))
+        .last()
+        .unwrap();
+    assert!(last + lease < at(0) + cancel);
+    assert!(
+        last > at(0) + (cancel - lease) / 2,
+        "tasks live through outages"
+    );
+    assert!(
+        !node.may_act(node.lease_end()),
+        "nothing is launched past it"
+    );
+    assert!(node.lease_end() < last);
+}
--- a/crates/pulleywood/src/peers.rs
+++ b/crates/pulleywood/src/peers.rs
@@ -2,8 +2,8 @@
 //! coordinator's requests.
 
 use crate::coordinator;
+use crate::errands;
 use crate::node::Shared;
-use crate::owner;
 use pulleywood_wire::MemberId;
 use pulleywood_wire::peer::{Ask, Reply};
 use std::sync::Arc;
@@ -69,7 +69,7 @@
             node.take_digest(*digest, now);
             Reply::Serving(node.serving(now))
         }
-        Ask::Move(machine, to) => taken(owner::let_go(shared, &machine, Some(to))),
+        Ask::Move(machine, to) => taken(errands::let_go(shared, &machine, Some(to))),
         Ask::Drain(machines) => {
             let until = shared.clock.now() + DRAIN;
             for owned in shared.node.lock().owned.values_mut() {
@@ -77,8 +77,8 @@
             }
             Reply::Ok
         }
-        Ask::Retire(machine) => taken(owner::let_go(shared, &machine, None)),
-        Ask::Lend(from, to, like) => taken(owner::lend(shared, from, to, &like)),
+        Ask::Retire(machine) => taken(errands::let_go(shared, &machine, None)),
+        Ask::Lend(from, to, like) => taken(errands::lend(shared, from, to, &like)),
         Ask::Shrink(part, to) => taken(coordinator::shrink(shared, part, &to)),
         Ask::Tokens => Reply::Tokens(shared.state.budget().lend_writes()),
     }
