Let no older change bring back tasks that this controller has lent since

A controller tells its own ledger at once what it has written; the watch gathers changes and brings them later. A part lends some tasks of a job and, 30 ms later, the rest of them to another part: its ledger drops the job. Then the watch brings the first of the two changes alone, in which the rest still belongs to this part: the job comes back and is launched here until the watch brings the second. Jobs that a controller had ended were guarded against this; jobs that it has lent now are too, in packs as well (an_older_change_does_not...).

Excluded: a task planned for two machines, attempts, lapses, machines in two racks, acceptance in a pack and alone.

--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -177,9 +177,11 @@
     /// Parts were given up for want of workers that reach this controller: none
     /// is taken until then, and how often that has happened in a row.
     pub unreached: (Moment, u32),
-    /// Jobs that ended by transactions of this controller which the watch is
-    /// yet to bring: an older change that comes before would revive them.
-    pub ended: BTreeMap<JobId, Stamp>,
+    /// Jobs that transactions of this controller changed or ended which the watch
+    /// is yet to bring. An older change that comes before tells its parts
+    /// nothing: it revived jobs that had ended, and tasks that had just been lent
+    /// to another part, which then ran in both.
+    pub own_writes: BTreeMap<JobId, Stamp>,
     /// Processes of other controllers that were followed by newer ones.
     pub former: VecDeque<u64>,
     /// Digests of the parts held here, and when they were made.
@@ -230,7 +232,7 @@
             owned: BTreeMap::new(),
             digests: BTreeMap::new(),
             unreached: (Moment(0), 0),
-            ended: BTreeMap::new(),
+            own_writes: BTreeMap::new(),
             former: VecDeque::new(),
             own_digests: Default::default(),
             sent: Vec::new(),
@@ -428,8 +430,6 @@
                     }
                 }
             },
-            // Ended here by a later change, which the watch is yet to bring.
-            Key::Job(_, id, _) if self.ended.get(&id).is_some_and(|at| *at >= stamp) => {}
             Key::Job(_, id, chunk) => {
                 let config = Arc::clone(&self.config);
                 let entry: Option<JobEntry> = match (value, chunk) {
@@ -439,6 +439,10 @@
                     (Some(_), n) => read(value, &path).map(|r| JobEntry::Chunk(n, r)),
                 };
                 let Some(entry) = entry else { return };
+                if self.wrote_since(&id, stamp) {
+                    self.tell_parts(&id, &entry, stamp, now);
+                    return;
+                }
                 match &entry {
                     JobEntry::Gone => {
                         self.view.jobs.remove(&id);
@@ -471,9 +475,19 @@
         }
     }
 
+    /// A transaction of this controller changed the job at this revision or later.
+    fn wrote_since(&self, id: &JobId, stamp: Stamp) -> bool {
+        self.own_writes.get(id).is_some_and(|at| *at >= stamp)
+    }
+
     fn tell_parts(&mut self, id: &JobId, entry: &JobEntry, stamp: Stamp, now: Moment) {
         let config = Arc::clone(&self.config);
+        // Parts that are still being read were not told of own transactions.
+        let known = self.wrote_since(id, stamp);
         for owned in self.owned.values_mut() {
+            if owned.loaded && known {
+                continue;
+            }
             if owned.loaded {
                 owned.job_event(id, entry, stamp, false, now, &config);
             } else {
@@ -487,10 +501,9 @@
         let (new, left) = self.view.packs.put(n, record, stamp);
         for record in new {
             let id = record.spec.id.clone();
-            if self.ended.get(&id).is_some_and(|at| *at >= stamp) {
-                continue;
+            if !self.wrote_since(&id, stamp) {
+                self.view.jobs.entry(id.clone()).or_insert(0);
             }
-            self.view.jobs.entry(id.clone()).or_insert(0);
             self.tell_parts(&id, &JobEntry::Packed(Box::new(record)), stamp, now);
         }
         self.view
@@ -527,7 +540,7 @@
 
     /// A transaction of this controller ended a job.
     pub fn end_job(&mut self, id: &JobId, stamp: Stamp) {
-        self.ended.insert(id.clone(), stamp);
+        self.own_writes.insert(id.clone(), stamp);
         self.view.jobs.remove(id);
         self.view.own.remove(id);
         for owned in self.owned.values_mut() {
@@ -579,7 +592,7 @@
         let upto = self.view.ledger;
         self.view.packs.forget(upto);
         self.view.racks.forget(upto);
-        self.ended.retain(|_, at| at.0 > upto);
+        self.own_writes.retain(|_, at| at.0 > upto);
     }
 
     /// A part's grants as stored.
@@ -658,8 +671,10 @@
             return;
         }
         let config = Arc::clone(&self.config);
-        self.view.jobs.entry(record.spec.id.clone()).or_insert(0);
-        self.view.own.insert(record.spec.id.clone());
+        let id = &record.spec.id;
+        self.own_writes.insert(id.clone(), stamp);
+        self.view.jobs.entry(id.clone()).or_insert(0);
+        self.view.own.insert(id.clone());
         for owned in self.owned.values_mut().filter(|o| o.loaded) {
             owned.ledger.put_job(record, stamp, false, now, &config);
         }
--- a/crates/pulleywood/src/node/tests.rs
+++ b/crates/pulleywood/src/node/tests.rs
@@ -238,6 +238,58 @@
     }
 }
 
+#[test]
+fn an_older_change_does_not_bring_back_what_was_lent_since() {
+    // Part 0 has a job of its own since revision 50 and lends all of it at 55.
+    // The watch, which gathers changes, brings 50 alone, and 55 later. Then it
+    // ran in both parts.
+    for packed in [false, true] {
+        let mut node = node();
+        taken(&mut node);
+        let job = record(1);
+        let id = job.spec.id.clone();
+        let mut lent = job.clone();
+        lent.lend(PartId(1), None, &TaskSet::full(1));
+        let key = pulleywood_wire::record::job_key(id.part(2), &id);
+        let pack_key = pulleywood_wire::record::pack_key(1);
+        let pack = PackRecord {
+            jobs: vec![job.clone()],
+        };
+        if packed {
+            node.wrote_pack(PackHead { last: 1 }, pack.clone(), Stamp(50), at(11));
+        } else {
+            node.put_job(&job, Stamp(50), at(11));
+        }
+        let waits = |node: &Node| {
+            let ledger = &node.owned[&PartId(0)].ledger;
+            ledger.jobs.get(&id).is_some_and(|j| !j.waiting.is_empty())
+        };
+        assert!(waits(&node));
+        node.put_job(&lent, Stamp(55), at(12));
+        if packed {
+            node.left_packs(vec![(1, None)], Stamp(55), at(12));
+        }
+        assert!(!waits(&node), "packed: {packed}");
+        match packed {
+            true => node.event(event(true, &pack_key, &pack, 50), at(13)),
+            false => node.event(event(true, &key, &job, 50), at(13)),
+        }
+        node.complete(52, at(13));
+        assert!(!waits(&node), "packed: {packed}, after the older change");
+        node.event(event(true, &key, &lent, 55), at(14));
+        if packed {
+            node.event(event(false, &pack_key, 0, 55), at(14));
+        }
+        node.complete(56, at(14));
+        assert!(!waits(&node), "packed: {packed}, after its own");
+        assert!(node.is_live(&id) && node.own_writes.is_empty());
+        // Lent back by the other part, it is this one's again.
+        node.event(event(true, &key, &job, 60), at(15));
+        node.complete(60, at(15));
+        assert!(waits(&node), "packed: {packed}, lent back");
+    }
+}
+
 #[test]
 fn a_part_whose_key_changed_is_no_longer_held() {
     for (stamp, held) in [(39, true), (40, true), (41, false)] {
