Tell parts that are being read of this controller's own changes

Own changes are now kept for such a part like those of the watch, and taken in the order of their revisions (a_job_accepted_while_its_part_is_read_is_told_to_it).

--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -145,7 +145,9 @@
     pub stamp: Stamp,
     /// Read in full; until then events are kept back.
     pub loaded: bool,
-    /// Changes of jobs that came while it was being read.
+    /// Changes of jobs that came while it was being read, this controller's own
+    /// included: the watch may bring those after it has been read, when they
+    /// count as known.
     pub held: Vec<(JobId, JobEntry, Stamp)>,
     /// Being handed to another controller: nothing is launched.
     pub leaving: bool,
@@ -440,7 +442,6 @@
                 };
                 let Some(entry) = entry else { return };
                 if self.wrote_since(&id, stamp) {
-                    self.tell_parts(&id, &entry, stamp, now);
                     return;
                 }
                 match &entry {
@@ -482,12 +483,10 @@
 
     fn tell_parts(&mut self, id: &JobId, entry: &JobEntry, stamp: Stamp, now: Moment) {
         let config = Arc::clone(&self.config);
-        // Parts that are still being read were not told of own transactions.
-        let known = self.wrote_since(id, stamp);
+        if self.wrote_since(id, stamp) {
+            return;
+        }
         for owned in self.owned.values_mut() {
-            if owned.loaded && known {
-                continue;
-            }
             if owned.loaded {
                 owned.job_event(id, entry, stamp, false, now, &config);
             } else {
@@ -501,9 +500,10 @@
         let (new, left) = self.view.packs.put(n, record, stamp);
         for record in new {
             let id = record.spec.id.clone();
-            if !self.wrote_since(&id, stamp) {
-                self.view.jobs.entry(id.clone()).or_insert(0);
+            if self.wrote_since(&id, stamp) {
+                continue;
             }
+            self.view.jobs.entry(id.clone()).or_insert(0);
             self.tell_parts(&id, &JobEntry::Packed(Box::new(record)), stamp, now);
         }
         self.view
@@ -544,7 +544,11 @@
         self.view.jobs.remove(id);
         self.view.own.remove(id);
         for owned in self.owned.values_mut() {
-            owned.ledger.drop_job(id);
+            if owned.loaded {
+                owned.ledger.drop_job(id);
+            } else {
+                owned.held.push((id.clone(), JobEntry::Gone, stamp));
+            }
         }
     }
 
@@ -675,8 +679,13 @@
         self.own_writes.insert(id.clone(), stamp);
         self.view.jobs.entry(id.clone()).or_insert(0);
         self.view.own.insert(id.clone());
-        for owned in self.owned.values_mut().filter(|o| o.loaded) {
-            owned.ledger.put_job(record, stamp, false, now, &config);
+        for owned in self.owned.values_mut() {
+            if owned.loaded {
+                owned.ledger.put_job(record, stamp, false, now, &config);
+            } else {
+                let entry = JobEntry::Record(Box::new(record.clone()));
+                owned.held.push((id.clone(), entry, stamp));
+            }
         }
     }
 
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -402,7 +402,10 @@
             }
         }
         owned.loaded = true;
-        for (id, entry, stamp) in std::mem::take(&mut owned.held) {
+        // This controller's own come before older ones that the watch brings.
+        let mut held = std::mem::take(&mut owned.held);
+        held.sort_by_key(|(.., stamp)| *stamp);
+        for (id, entry, stamp) in held {
             if stamp.0 > packs.1 {
                 owned.job_event(&id, &entry, stamp, false, now, &config);
             }
