--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -145,9 +145,7 @@
     pub stamp: Stamp,
     /// Read in full; until then events are kept back.
     pub loaded: bool,
-    /// Changes of jobs that came while it was being read, this controller's own
-    /// included: the watch may bring those after it has been read, when they
-    /// count as known.
+    /// Changes of jobs that came while it was being read.
     pub held: Vec<(JobId, JobEntry, Stamp)>,
     /// Being handed to another controller: nothing is launched.
     pub leaving: bool,
@@ -442,6 +440,7 @@
                 };
                 let Some(entry) = entry else { return };
                 if self.wrote_since(&id, stamp) {
+                    self.tell_parts(&id, &entry, stamp, now);
                     return;
                 }
                 match &entry {
@@ -483,10 +482,12 @@
 
     fn tell_parts(&mut self, id: &JobId, entry: &JobEntry, stamp: Stamp, now: Moment) {
         let config = Arc::clone(&self.config);
-        if self.wrote_since(id, stamp) {
-            return;
-        }
+        // Parts that are still being read were not told of own transactions.
+        let known = self.wrote_since(id, stamp);
         for owned in self.owned.values_mut() {
+            if owned.loaded && known {
+                continue;
+            }
             if owned.loaded {
                 owned.job_event(id, entry, stamp, false, now, &config);
             } else {
@@ -500,10 +501,9 @@
         let (new, left) = self.view.packs.put(n, record, stamp);
         for record in new {
             let id = record.spec.id.clone();
-            if self.wrote_since(&id, stamp) {
-                continue;
+            if !self.wrote_since(&id, stamp) {
+                self.view.jobs.entry(id.clone()).or_insert(0);
             }
-            self.view.jobs.entry(id.clone()).or_insert(0);
             self.tell_parts(&id, &JobEntry::Packed(Box::new(record)), stamp, now);
         }
         self.view
@@ -544,11 +544,7 @@
         self.view.jobs.remove(id);
         self.view.own.remove(id);
         for owned in self.owned.values_mut() {
-            if owned.loaded {
-                owned.ledger.drop_job(id);
-            } else {
-                owned.held.push((id.clone(), JobEntry::Gone, stamp));
-            }
+            owned.ledger.drop_job(id);
         }
     }
 
@@ -679,13 +675,8 @@
         self.own_writes.insert(id.clone(), stamp);
         self.view.jobs.entry(id.clone()).or_insert(0);
         self.view.own.insert(id.clone());
-        for owned in self.owned.values_mut() {
-            if owned.loaded {
-                owned.ledger.put_job(record, stamp, false, now, &config);
-            } else {
-                let entry = JobEntry::Record(Box::new(record.clone()));
-                owned.held.push((id.clone(), entry, stamp));
-            }
+        for owned in self.owned.values_mut().filter(|o| o.loaded) {
+            owned.ledger.put_job(record, stamp, false, now, &config);
         }
     }
 
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -402,10 +402,10 @@
             }
         }
         owned.loaded = true;
-        // This controller's own come before older ones that the watch brings.
-        let mut held = std::mem::take(&mut owned.held);
-        held.sort_by_key(|(.., stamp)| *stamp);
-        for (id, entry, stamp) in held {
+        // It was not told of this controller's own changes meanwhile: the watch
+        // is to bring them, and they must not count as known.
+        node.own_writes.clear();
+        for (id, entry, stamp) in std::mem::take(&mut owned.held) {
             if stamp.0 > packs.1 {
                 owned.job_event(&id, &entry, stamp, false, now, &config);
             }
