--- a/crates/pulleywood-core/src/done.rs
+++ b/crates/pulleywood-core/src/done.rs
@@ -7,7 +7,7 @@
 use crate::room::Room;
 use pulleywood_wire::job::JobStatus;
 use pulleywood_wire::pack::{PackRecord, Packs};
-use pulleywood_wire::record::{ChunkRecord, OverRecord, chunk_key, job_key, over_key, part_key};
+use pulleywood_wire::record::{ChunkRecord, FinalRecord, chunk_key, final_key, job_key, part_key};
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{JobId, Moment, Stamp};
 use std::collections::BTreeSet;
@@ -42,7 +42,7 @@
     /// Chunks written.
     pub chunks: BTreeSet<u32>,
     /// Its final state, if all its tasks are done.
-    pub over: Option<OverRecord>,
+    pub over: Option<FinalRecord>,
 }
 
 /// How much a job's done tasks want to be recorded.
@@ -134,7 +134,7 @@
                 .iter()
                 .filter(|&i| !job.committed.contains(i))
                 .collect();
-            let over = job.over().then(|| over_record(job, JobStatus::Done));
+            let over = job.over().then(|| final_record(job, JobStatus::Done));
             let mut chunks: BTreeSet<u32> = tasks.iter().map(|i| i / config.chunk).collect();
             if job.touch {
                 chunks.insert(0);
@@ -174,8 +174,8 @@
                     commit = commit.delete(key);
                 }
                 commit = commit
-                    .when(over_key(id), Stamp(0))
-                    .write(over_key(id), over);
+                    .when(final_key(id), Stamp(0))
+                    .write(final_key(id), over);
                 for (&chunk, &stamp) in &job.chunk_stamps {
                     let key = chunk_key(id.part(config.parts), id, chunk);
                     commit = commit.when(key.clone(), stamp).delete(key);
@@ -251,8 +251,8 @@
 }
 
 /// The final record of a job.
-pub fn over_record(job: &Job, status: JobStatus) -> OverRecord {
-    OverRecord {
+pub fn final_record(job: &Job, status: JobStatus) -> FinalRecord {
+    FinalRecord {
         status,
         done: job.done.len(),
         team: job.spec.team.clone(),
--- a/crates/pulleywood-net/src/lib.rs
+++ b/crates/pulleywood-net/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod server;
 pub mod state;
 
-pub use budget::{Budget, Class};
+pub use budget::{Budget, Class, Pace};
 pub use client::{Client, Failure};
 pub use cloud::CloudClient;
 pub use state::{StateClient, StateError};
--- a/crates/pulleywood-net/src/state.rs
+++ b/crates/pulleywood-net/src/state.rs
@@ -94,13 +94,7 @@
 
     /// Takes tokens; classes that can wait do so, briefly.
     pub fn take(&self, class: Class, writes: u32) -> Result<(), StateError> {
-        let patience = match class {
-            Class::Lease | Class::Owner | Class::Record => Duration::from_secs(3),
-            Class::User | Class::Later => Duration::ZERO,
-            Class::Pack => Duration::from_millis(600),
-            Class::Done | Class::House => Duration::from_secs(1),
-        };
-        let end = Instant::now() + patience;
+        let end = Instant::now() + class.patience();
         loop {
             match self.budget.take(class, writes) {
                 Ok(()) => return Ok(()),
@@ -164,13 +158,8 @@
         let mut ledger = None;
         loop {
             self.take(class, 0)?;
-            let after = items
-                .last()
-                .map(|i| format!("&from={}", i.path))
-                .unwrap_or_default();
-            let path = format!("/store?starts={prefix}{after}&page=1000");
-            let answer = self.send(&self.calls, "GET", &path, None, CALL_TIME * 2)?;
-            let page: Page = self.read(&answer)?;
+            let after = items.last().map(|i| i.path.as_str());
+            let page = self.page(prefix, after, 1000)?;
             ledger.get_or_insert(page.ledger);
             let empty = page.items.is_empty();
             items.extend(page.items);
@@ -180,6 +169,27 @@
         }
     }
 
+    fn page(&self, prefix: &str, after: Option<&str>, most: u32) -> Result<Page, StateError> {
+        let after = after.map(|key| format!("&from={key}")).unwrap_or_default();
+        let path = format!("/store?starts={prefix}{after}&page={most}");
+        let answer = self.send(&self.calls, "GET", &path, None, CALL_TIME * 2)?;
+        self.read(&answer)
+    }
+
+    /// Reads a few keys with a prefix that come after a key in order, and
+    /// whether there are more.
+    pub fn some(
+        &self,
+        class: Class,
+        prefix: &str,
+        after: &str,
+        most: u32,
+    ) -> Result<(Vec<Item>, bool), StateError> {
+        self.take(class, 0)?;
+        let page = self.page(prefix, Some(after), most)?;
+        Ok((page.items, page.more))
+    }
+
     /// Sends a transaction. Every one must be a compare-and-set, since one
     /// without an answer may be applied minutes later.
     pub fn commit(&self, class: Class, commit: &Commit) -> Result<Outcome, StateError> {
--- a/crates/pulleywood-standins/src/state.rs
+++ b/crates/pulleywood-standins/src/state.rs
@@ -381,7 +381,7 @@
         }
         let follow = request.path == "/follow";
         let at_once = follow && query(request.query, "wait_ms") == Some("0");
-        let of_a_job = ["/store/c/job/", "/store/over/"]
+        let of_a_job = ["/store/c/job/", "/store/closed/"]
             .iter()
             .any(|p| request.path.starts_with(p));
         if at_once || of_a_job {
--- a/crates/pulleywood-wire/src/record.rs
+++ b/crates/pulleywood-wire/src/record.rs
@@ -1,7 +1,7 @@
 //! Records kept in the state service, and their keys.
 //!
-//! Everything that changes while jobs are live is below `c/`, so that one
-//! watch brings it; final states are below `over/`.
+//! Everything that changes while jobs are live is below `c/`; final states are
+//! below `closed/`. One watch brings both, and only the former is ever listed.
 
 use crate::cbor::Amount;
 use crate::ids::{JobId, MemberId, PartId, Term};
@@ -10,8 +10,12 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Prefix of all that is watched.
+/// Prefix of all that is watched: what is live, and final states.
+pub const WATCHED: &str = "c";
+/// Prefix of all that is live.
 pub const LIVE: &str = "c/";
+/// Prefix of final states.
+pub const CLOSED: &str = "closed/";
 /// How many parts there are; stored once.
 pub const LAYOUT: &str = "c/layout";
 /// The shared term counter.
@@ -58,8 +62,21 @@
     format!("{PACKS}{n}")
 }
 /// Key of a job's final state.
-pub fn over_key(job: &JobId) -> String {
-    format!("over/{job}")
+pub fn final_key(job: &JobId) -> String {
+    format!("{CLOSED}{job}")
+}
+
+/// Key after which a listing of final states begins so that a job's own is
+/// among the first: only some whose ids differ in the last digit come before.
+pub fn before_final_key(job: &JobId) -> String {
+    let mut key = final_key(job);
+    key.pop();
+    key
+}
+
+/// The job whose final state this key holds.
+pub fn closed_job(path: &str) -> Option<JobId> {
+    JobId::parse(path.strip_prefix(CLOSED)?)
 }
 
 /// What a watched key is about.
@@ -319,7 +336,7 @@
 
 /// A job's final state, kept for ever.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct OverRecord {
+pub struct FinalRecord {
     /// Done or cancelled.
     pub status: JobStatus,
     /// Tasks done.
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -10,7 +10,7 @@
 use pulleywood_core::config::Policy;
 use pulleywood_net::peer::PeerClient;
 use pulleywood_net::server::{self, From, Handler, Request, Response};
-use pulleywood_net::{Budget, CloudClient, StateClient};
+use pulleywood_net::{Budget, CloudClient, Pace, StateClient};
 use pulleywood_wire::MemberId;
 use pulleywood_wire::settings::{Bounds, Settings};
 use std::net::SocketAddr;
@@ -58,13 +58,10 @@
         let cluster = &settings.cluster;
         let members = (settings.seeds.len() + 1) as f64;
         let share = RATE_SHARE / members;
+        let rps = cluster.state.rps * share;
         let state = StateClient::new(
             address(&settings.services.state)?,
-            Budget::new(
-                cluster.state.rps * share,
-                cluster.state.write_rps * share,
-                1.0,
-            ),
+            Budget::new(rps, cluster.state.write_rps * share, 1.0),
         );
         // Machine types are read by each controller, now and then; all else is
         // the coordinator's, of which there is one.
@@ -98,6 +95,7 @@
             intake: Intake::default(),
             adoptions: Default::default(),
             reads: Reads::default(),
+            pace: Pace::new(rps),
             digests_sent: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             finals: Mutex::new(Finals::default()),
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -6,7 +6,7 @@
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::pack::PackRecord;
 use pulleywood_wire::rack::RackRecord;
-use pulleywood_wire::record::{LIVE, PACKS, RACK, job_key};
+use pulleywood_wire::record::{FinalRecord, LIVE, PACKS, RACK, WATCHED, closed_job, job_key};
 use pulleywood_wire::state::{Event, Item};
 use pulleywood_wire::{JobId, MachineId, PartId};
 use std::collections::BTreeSet;
@@ -16,12 +16,6 @@
 /// How long one watch waits. Its return proves how new the view is, which
 /// bounds how long workers are answered while out of contact.
 const WAIT: Duration = Duration::from_millis(1000);
-/// Changes gather this long before the next watch: a bound on requests.
-const GATHER: Duration = Duration::from_millis(150);
-
-/// Least time between two reads made for users' questions: those that come
-/// meanwhile share the next one.
-const READ_GAP: Duration = Duration::from_millis(100);
 /// A question waits this long for the read that it shares.
 const READ_TIME: Duration = Duration::from_millis(1700);
 
@@ -84,7 +78,7 @@
             }
             tickets.asked
         };
-        let result = changes(shared, Class::User, Duration::ZERO);
+        let result = changes(shared, Class::Question, Duration::ZERO);
         let mut tickets = reads.tickets.lock();
         match result {
             Ok(_) => tickets.served = tickets.served.max(upto),
@@ -99,7 +93,7 @@
         }
         drop(tickets);
         reads.answered.notify_all();
-        std::thread::sleep(READ_GAP);
+        std::thread::sleep(shared.pace.question);
     }
 }
 
@@ -113,7 +107,8 @@
         node.view.ledger
     };
     let sent = shared.clock.now();
-    let answer = shared.state.follow(class, LIVE, from, wait)?;
+    let answer = shared.state.follow(class, WATCHED, from, wait)?;
+    remember_final(shared, &answer.events);
     let now = shared.clock.now();
     let mut node = shared.node.lock();
     // Another read may have brought some of them already. Taken again, an
@@ -135,11 +130,27 @@
     Ok(changed)
 }
 
+/// Final states never change: what the watch brings need not be read when its
+/// user asks. A read for each job that had ended was more than a small share of
+/// the state service's rate could carry, and a job was not answered about for 75 s.
+fn remember_final(shared: &Shared, events: &[Event]) {
+    let mut finals = shared.finals.lock();
+    for event in events {
+        if let Some(path) = &event.write
+            && let Some(id) = closed_job(path)
+            && let Some(state) = read::<FinalRecord>(event.value.as_ref(), path)
+        {
+            finals.put(&id, state);
+        }
+    }
+}
+
 /// Runs for the life of the process.
 pub fn run(shared: &Arc<Shared>) {
     loop {
         match changes(shared, Class::Owner, WAIT) {
-            Ok(true) => std::thread::sleep(GATHER),
+            // Changes gather before the next one: a bound on requests.
+            Ok(true) => std::thread::sleep(shared.pace.watch),
             Ok(false) => {}
             Err(StateError::TooOld) => {
                 log::debug!("reading everything");
--- a/crates/pulleywood/src/intake.rs
+++ b/crates/pulleywood/src/intake.rs
@@ -6,7 +6,7 @@
 use crate::node::Shared;
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::pack::{PackHead, PackRecord};
-use pulleywood_wire::record::{HEAD, JobRecord, job_key, over_key, pack_key};
+use pulleywood_wire::record::{HEAD, JobRecord, final_key, job_key, pack_key};
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{PartId, Stamp};
 use std::collections::{BTreeMap, BTreeSet};
@@ -116,7 +116,7 @@
     let commit = Commit::default()
         .when(HEAD, head)
         .when(key.clone(), Stamp(0))
-        .when(over_key(id), Stamp(0))
+        .when(final_key(id), Stamp(0))
         .write(key, record);
     match shared.state.commit_paid(&commit) {
         Ok(Ok(stamp)) => {
@@ -221,7 +221,7 @@
         for id in &ids {
             commit = commit
                 .when(job_key(id.part(parts), id), Stamp(0))
-                .when(over_key(id), Stamp(0));
+                .when(final_key(id), Stamp(0));
         }
         match shared.state.commit_paid(&commit) {
             Ok(Ok(stamp)) => {
@@ -240,7 +240,7 @@
                     .iter()
                     .filter(|(_, w)| {
                         let id = &w.record.spec.id;
-                        failed.contains(&over_key(id))
+                        failed.contains(&final_key(id))
                             || failed.contains(&job_key(id.part(parts), id))
                     })
                     .map(|(ticket, _)| *ticket)
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -7,12 +7,12 @@
 use parking_lot::{Condvar, Mutex};
 use pulleywood_core::{Config, PartLedger, home};
 use pulleywood_net::peer::PeerClient;
-use pulleywood_net::{CloudClient, StateClient};
+use pulleywood_net::{CloudClient, Pace, StateClient};
 use pulleywood_wire::pack::{PackHead, PackRecord, Packs};
 use pulleywood_wire::peer::{Digest, PartDigest};
 use pulleywood_wire::rack::{RackRecord, Racked, Racks};
 use pulleywood_wire::record::{
-    ChunkRecord, GrantRecord, Holder, JobRecord, Key, Layout, MachineRecord, OverRecord, TaskSet,
+    ChunkRecord, FinalRecord, GrantRecord, Holder, JobRecord, Key, Layout, MachineRecord, TaskSet,
     TermRecord,
 };
 use pulleywood_wire::settings::Settings;
@@ -54,6 +54,8 @@
     pub reads: Reads,
     /// Numbers digests.
     pub digests_sent: AtomicU64,
+    /// How often the state service is asked what changed.
+    pub pace: Pace,
     /// When a submission was last refused for want of tokens.
     pub refused: AtomicU64,
     /// Final states told or read, kept for later polls.
@@ -63,7 +65,7 @@
 /// A bounded memory of final states, which never change.
 #[derive(Default)]
 pub struct Finals {
-    known: HashMap<JobId, OverRecord>,
+    known: HashMap<JobId, FinalRecord>,
     order: VecDeque<JobId>,
 }
 
@@ -75,7 +77,7 @@
 
 impl Finals {
     /// Remembers one.
-    pub fn put(&mut self, id: &JobId, over: OverRecord) {
+    pub fn put(&mut self, id: &JobId, over: FinalRecord) {
         if self.known.insert(id.clone(), over).is_none() {
             self.order.push_back(id.clone());
         }
@@ -87,7 +89,7 @@
     }
 
     /// Looks one up.
-    pub fn get(&self, id: &JobId) -> Option<OverRecord> {
+    pub fn get(&self, id: &JobId) -> Option<FinalRecord> {
         self.known.get(id).cloned()
     }
 }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -13,7 +13,8 @@
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::job::JobAnswer;
 use pulleywood_wire::record::{
-    ChunkRecord, JobRecord, Key, OverRecord, TaskSet, job_key, over_key,
+    CLOSED, ChunkRecord, FinalRecord, JobRecord, Key, TaskSet, before_final_key, closed_job,
+    final_key, job_key,
 };
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{JobId, JobSpec, JobStatus, PartId, Rank, Stamp, cbor};
@@ -26,7 +27,7 @@
 enum Stored {
     /// Live, with this many tasks recorded as done.
     Live(u32),
-    Over(OverRecord),
+    Final(FinalRecord),
     Unknown,
 }
 
@@ -49,36 +50,66 @@
 /// question came.
 fn lookup(shared: &Shared, id: &JobId) -> Result<Stored, StateError> {
     if let Some(over) = shared.finals.lock().get(id) {
-        return Ok(Stored::Over(over));
+        return Ok(Stored::Final(over));
     }
     shared.reads.fresh()?;
     if let Some(done) = shared.node.lock().view.jobs.get(id) {
         return Ok(Stored::Live(*done));
     }
-    // Not live at that read: if it is not over now, it was not known then.
-    Ok(match over(shared, id)? {
-        Some(over) => Stored::Over(over),
+    // That read may have brought its end. Else it was not live then: if it has no
+    // final state now, it was not known.
+    Ok(match final_state(shared, id)? {
+        Some(state) => Stored::Final(state),
         None => Stored::Unknown,
     })
 }
 
-/// A job's final state, if it has one.
-fn over(shared: &Shared, id: &JobId) -> Result<Option<OverRecord>, StateError> {
-    let key = over_key(id);
-    let Some(item) = shared.state.get(Class::User, &key)? else {
+/// Final states read together with one that is asked for.
+const NEIGHBOURS: u32 = 60;
+
+/// A job's final state, if it has one. What the watch did not bring, as it was
+/// before this process, is read with those next to it: after a restart every
+/// user may ask, and a request for each would be more than the rate carries.
+fn final_state(shared: &Shared, id: &JobId) -> Result<Option<FinalRecord>, StateError> {
+    if let Some(state) = shared.finals.lock().get(id) {
+        return Ok(Some(state));
+    }
+    let key = final_key(id);
+    let after = before_final_key(id);
+    let (items, more) = shared
+        .state
+        .some(Class::Question, CLOSED, &after, NEIGHBOURS)?;
+    let beyond = !more || items.last().is_some_and(|last| last.path >= key);
+    let mut finals = shared.finals.lock();
+    for item in &items {
+        if let Some(job) = closed_job(&item.path)
+            && let Some(state) = read(Some(&item.value), &item.path)
+        {
+            finals.put(&job, state);
+        }
+    }
+    if let Some(state) = finals.get(id) {
+        return Ok(Some(state));
+    }
+    drop(finals);
+    if beyond {
+        return Ok(None);
+    }
+    // Longer ids with the same beginning come before it.
+    let Some(item) = shared.state.get(Class::Question, &key)? else {
         return Ok(None);
     };
-    let over: Option<OverRecord> = read(Some(&item.value), &key);
-    if let Some(over) = &over {
-        shared.finals.lock().put(id, over.clone());
+    let state: Option<FinalRecord> = read(Some(&item.value), &key);
+    if let Some(state) = &state {
+        shared.finals.lock().put(id, state.clone());
     }
-    Ok(over)
+    Ok(state)
 }
 
 fn answer(shared: &Shared, id: &JobId, stored: &Stored) -> Response {
     match stored {
         Stored::Unknown => Response::status(404),
-        Stored::Over(over) => Response::cbor(
+        Stored::Final(over) => Response::cbor(
             200,
             &JobAnswer {
                 uid: id.clone(),
@@ -162,7 +193,7 @@
         };
     }
     if let Some(over) = shared.finals.lock().get(&id) {
-        return answer(shared, &id, &Stored::Over(over));
+        return answer(shared, &id, &Stored::Final(over));
     }
     let now = shared.clock.now();
     let record = shared.node.lock().new_job(spec, time_of_day_ms(), now);
@@ -252,7 +283,7 @@
             Ok(Some(over)) => {
                 log::debug!("cancelled {id}");
                 shared.finals.lock().put(&id, over.clone());
-                return answer(shared, &id, &Stored::Over(over));
+                return answer(shared, &id, &Stored::Final(over));
             }
             // A done batch came in between: look again.
             Ok(None) => {}
@@ -267,9 +298,9 @@
 
 /// Deletes the live record with its continuations, or takes the job out of
 /// its pack, and writes the final state.
-fn withdraw(shared: &Shared, part: PartId, id: &JobId) -> Result<Option<OverRecord>, StateError> {
+fn withdraw(shared: &Shared, part: PartId, id: &JobId) -> Result<Option<FinalRecord>, StateError> {
     let key = job_key(part, id);
-    let commit = Commit::default().when(over_key(id), Stamp(0));
+    let commit = Commit::default().when(final_key(id), Stamp(0));
     let (chunk, packed, mut commit, packs) = {
         let node = shared.node.lock();
         let (commit, packs) = node
@@ -309,13 +340,13 @@
             record
         }
     };
-    let over = OverRecord {
+    let over = FinalRecord {
         status: JobStatus::Cancelled,
         done: done.len(),
         team: record.spec.team.clone(),
         slots: Room::of_task(&record.spec).slots(),
     };
-    let commit = commit.write(over_key(id), &over);
+    let commit = commit.write(final_key(id), &over);
     match shared.state.commit(Class::User, &commit)? {
         Outcome::Applied(stamp) => {
             let now = shared.clock.now();
