--- a/crates/pulleywood-standins/src/state.rs
+++ b/crates/pulleywood-standins/src/state.rs
@@ -62,6 +62,7 @@
     /// Reads of single jobs, and of what changed that do not wait.
     reads: AtomicU64,
     commits: AtomicU64,
+    writes: AtomicU64,
 }
 
 /// One controller's way to the service.
@@ -110,6 +111,18 @@
         self.shared.reads.load(Ordering::Relaxed)
     }
 
+    /// How many puts and deletes were carried out.
+    pub fn writes(&self) -> u64 {
+        self.shared.writes.load(Ordering::Relaxed)
+    }
+
+    /// All values below a prefix, for checks.
+    pub fn values(&self, prefix: &str) -> Vec<Value> {
+        let store = self.shared.store.lock();
+        let below = store.keys.iter().filter(|(k, _)| k.starts_with(prefix));
+        below.map(|(_, e)| e.value.clone()).collect()
+    }
+
     /// All keys with a prefix, for checks.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let store = self.shared.store.lock();
@@ -248,7 +261,14 @@
                 }
             }
             ("POST", "/commit") => match cbor::decode::<Commit>(request.body) {
-                Ok(commit) => store.commit(&commit),
+                Ok(commit) => {
+                    let response = store.commit(&commit);
+                    if response.status == 200 {
+                        let writes = commit.changes.len() as u64;
+                        self.shared.writes.fetch_add(writes, Ordering::Relaxed);
+                    }
+                    response
+                }
                 Err(_) => Response::status(400),
             },
             ("POST", "/grants") => match cbor::decode::<Ttl>(request.body) {
@@ -268,6 +288,7 @@
         response
     }
 
+    /// A watch; one that is open when requests are refused waits as in an outage.
     fn follow(&self, request: &Request<'_>) -> Response {
         let number = |name| query(request.query, name).and_then(|v| v.parse::<u64>().ok());
         let from = number("from").unwrap_or(0);
@@ -287,11 +308,12 @@
                 .cloned()
                 .collect();
             let now = Instant::now();
-            if !events.is_empty() || now >= end {
+            let away = matches!(*self.fault.lock(), Fault::Refuse | Fault::Cut);
+            if !away && (!events.is_empty() || now >= end) {
                 let ledger = store.ledger;
                 return Response::cbor(200, &Events { ledger, events });
             }
-            let wait = (end - now).min(Duration::from_millis(50));
+            let wait = Duration::from_millis(50);
             self.shared.changed.wait_for(&mut store, wait);
         }
     }
--- a/crates/pulleywood-standins/src/world.rs
+++ b/crates/pulleywood-standins/src/world.rs
@@ -4,7 +4,7 @@
 use parking_lot::Mutex;
 use pulleywood_wire::{JobId, JobSpec, MachineId, Shape, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A job in the world.
 #[derive(Debug, Clone)]
@@ -13,6 +13,8 @@
     run: Duration,
     done: BTreeSet<u32>,
     cancelled: bool,
+    /// When its user heard that it is cancelled, and when its tasks must be gone.
+    told: Option<(Instant, Instant)>,
 }
 
 /// Watches from outside.
@@ -28,6 +30,21 @@
     starts: BTreeMap<TaskId, u32>,
     limits: BTreeMap<String, f64>,
     broken: Vec<String>,
+    late_starts: u32,
+}
+
+impl State {
+    /// Notes a task that is on a machine too long after its job's cancellation.
+    fn late(&mut self, task: &TaskId, machine: &MachineId) {
+        let told = self.jobs.get(&task.job).and_then(|j| j.told);
+        if let Some((told, until)) = told
+            && Instant::now() > until
+        {
+            let after = told.elapsed().as_secs_f64();
+            let text = format!("ran_cancelled: {task} on {machine} {after:.1} s after");
+            self.broken.push(text);
+        }
+    }
 }
 
 impl World {
@@ -37,6 +54,7 @@
             run,
             done: BTreeSet::new(),
             cancelled: false,
+            told: None,
             spec,
         };
         let id = known.spec.id.clone();
@@ -56,6 +74,20 @@
         }
     }
 
+    /// The user heard that the job is cancelled: its tasks must be gone within
+    /// this time, and none may be on a machine later.
+    pub fn told_cancelled(&self, id: &JobId, within: Duration) {
+        let now = Instant::now();
+        if let Some(job) = self.state.lock().jobs.get_mut(id) {
+            job.told.get_or_insert((now, now + within));
+        }
+    }
+
+    /// Starts of cancelled jobs after their users had heard so.
+    pub fn late_starts(&self) -> u32 {
+        self.state.lock().late_starts
+    }
+
     /// How long a task runs; nothing if there is no such task. A replica runs
     /// for ever.
     pub fn run_time(&self, task: &TaskId) -> Option<Duration> {
@@ -78,6 +110,10 @@
         if state.jobs.get(&task.job).is_some_and(|j| j.cancelled) {
             state.broken.push(format!("ran_cancelled: {task}"));
         }
+        state.late(task, machine);
+        if state.jobs.get(&task.job).is_some_and(|j| j.told.is_some()) {
+            state.late_starts += 1;
+        }
         state.on.insert(task.clone(), machine.clone());
         *state.starts.entry(task.clone()).or_default() += 1;
         let mut used: BTreeMap<String, f64> = BTreeMap::new();
@@ -96,6 +132,7 @@
     /// A task is no longer on a machine.
     pub fn end(&self, task: &TaskId, machine: &MachineId, done: bool) {
         let mut state = self.state.lock();
+        state.late(task, machine);
         if state.on.get(task) == Some(machine) {
             state.on.remove(task);
         }
@@ -119,6 +156,11 @@
         state.on.keys().filter(|t| &t.job == id).count()
     }
 
+    /// Tasks of all jobs that are on machines.
+    pub fn on_machines(&self) -> usize {
+        self.state.lock().on.len()
+    }
+
     /// Machines that run tasks of a job.
     pub fn machines_of(&self, id: &JobId) -> BTreeSet<MachineId> {
         let state = self.state.lock();
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -239,11 +239,11 @@
         boot: shared.boot,
         term,
     };
-    let (config, has_grant, layout) = {
+    let (config, grant, layout) = {
         let node = shared.node.lock();
         (
             Arc::clone(&node.config),
-            node.view.grants.contains_key(&part),
+            node.view.grants.get(&part).map(|(_, stamp)| *stamp),
             node.view.layout,
         )
     };
@@ -261,10 +261,12 @@
             },
         );
     let first_grant = grants::first(&config, layout.map_or(1, |l| l.parts));
+    // A view that was read in pages may know the part as free and its grant as it
+    // was before the last shrink, which others may have grown by since.
+    let has_grant = grant.is_some();
+    commit = commit.when(grant_key(part), grant.unwrap_or_default());
     if !has_grant {
-        commit = commit
-            .when(grant_key(part), Stamp(0))
-            .write(grant_key(part), &first_grant);
+        commit = commit.write(grant_key(part), &first_grant);
     }
     let stamp = match shared.state.commit(Class::Lease, &commit) {
         Ok(Outcome::Applied(stamp)) => stamp,
--- /dev/null
+++ b/crates/pulleywood/tests/stage/mod.rs
@@ -0,0 +1,312 @@
+//! Three real controllers and the stand-ins around them, for tests under
+//! failures.
+//!
+//! Nothing here depends on how fast the machine is: each step waits until it
+//! is true, up to a bound that only a hang reaches.
+
+// Each test file uses some of it.
+#![allow(dead_code)]
+
+use pulleywood_net::Client;
+use pulleywood_standins::cloud::Controllers;
+use pulleywood_standins::{Cloud, Fault, Front, Relay, StateService, World};
+use pulleywood_wire::cbor::{self, Amount};
+use pulleywood_wire::cloud::Flavor;
+use pulleywood_wire::job::{JobAnswer, JobStatus};
+use pulleywood_wire::settings::{
+    CloudLimits, Cluster, Resources, Seed, Services, Settings, StateLimits, Team, Workers,
+};
+use pulleywood_wire::{JobId, JobSpec, MemberId, Rank, Shape};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+pub const BOUND: Duration = Duration::from_secs(90);
+pub const CONTROLLERS: usize = 3;
+
+pub fn wait(what: &str, mut until: impl FnMut() -> bool) {
+    let end = Instant::now() + BOUND;
+    while !until() {
+        assert!(Instant::now() < end, "never came: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A free port below those that outgoing connections are given, so that none
+/// of them takes it before its controller does.
+fn free_port() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = std::process::id() * 100 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + (n % 18_000) as u16;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+pub struct Stage {
+    pub world: Arc<World>,
+    pub state: StateService,
+    pub cloud: Cloud,
+    pub fronts: Vec<Front>,
+    /// From the first controller to the second.
+    pub relays: Vec<(usize, usize, Relay)>,
+    pub serve_on: Vec<SocketAddr>,
+    pub files: Vec<std::path::PathBuf>,
+    pub running: Vec<Option<Child>>,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        for n in 0..CONTROLLERS {
+            self.kill(n);
+        }
+        for file in &self.files {
+            let _ = std::fs::remove_file(file);
+        }
+    }
+}
+
+impl Stage {
+    /// Three controllers, a team limited to `limit` GPUs (0: none), and room
+    /// for four machines of two GPUs each.
+    pub fn new(limit: f64) -> Stage {
+        Stage::with(limit, 200.0)
+    }
+
+    /// The same with `write_rps` writes a second to the state service.
+    pub fn with(limit: f64, write_rps: f64) -> Stage {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let world = Arc::new(World::default());
+        if limit > 0.0 {
+            world.limit("red", limit);
+        }
+        let state = StateService::default();
+        let controllers: Controllers = Controllers::default();
+        let flavor = Flavor {
+            label: "g2".into(),
+            cpus: Amount(8.0),
+            gpus: Amount(2.0),
+            memory_gb: Amount(32.0),
+            cache_gb: Amount(50.0),
+            fetch_gb_per_s: Amount(1.0),
+            price: Amount(4.0),
+            spot_price: Amount(1.0),
+            boot_s: Amount(1.0),
+            zones: vec!["a".into()],
+        };
+        let (report, lease) = (Duration::from_millis(200), Duration::from_secs(2));
+        let cloud = Cloud::start(flavor, 4, report, lease, controllers.clone(), world.clone());
+        let cloud = cloud.unwrap();
+        let serve_on: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_port()).collect();
+        let peers: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_port()).collect();
+        let name = |n: usize| format!("c-{n}");
+        *controllers.lock() = serve_on
+            .iter()
+            .enumerate()
+            .map(|(n, a)| (MemberId::from(name(n).as_str()), *a))
+            .collect();
+        let mut stage = Stage {
+            world,
+            state,
+            cloud,
+            fronts: Vec::new(),
+            relays: Vec::new(),
+            serve_on,
+            files: Vec::new(),
+            running: Vec::new(),
+        };
+        for n in 0..CONTROLLERS {
+            let front = stage.state.front().unwrap();
+            let others: Vec<usize> = (0..CONTROLLERS).filter(|m| *m != n).collect();
+            for &m in &others {
+                let relay = Relay::start(peers[m]).unwrap();
+                stage.relays.push((n, m, relay));
+            }
+            let relay = |m: usize| {
+                let way = stage.relays.iter().find(|(a, b, _)| (*a, *b) == (n, m));
+                way.unwrap().2.addr
+            };
+            let settings = Settings {
+                member: name(n),
+                domain: "a".into(),
+                serve_on: stage.serve_on[n].to_string(),
+                cluster_listen: peers[n].to_string(),
+                seeds: others
+                    .iter()
+                    .map(|&m| Seed {
+                        member: name(m),
+                        domain: "a".into(),
+                        endpoint: relay(m).to_string(),
+                    })
+                    .collect(),
+                services: Services {
+                    cloud: stage.cloud.addr.to_string(),
+                    state: front.addr.to_string(),
+                },
+                cluster: Cluster {
+                    initial_size: CONTROLLERS as u32,
+                    zones: vec!["a".into()],
+                    teams: vec![Team {
+                        name: "red".into(),
+                        cpus: 0.0,
+                        cpus_max: 0.0,
+                        gpus: 0.0,
+                        gpus_max: limit,
+                    }],
+                    objectives: vec![],
+                    workers: Workers {
+                        report_s: 0.2,
+                        lease_s: 2.0,
+                        cancel_s: 6.0,
+                    },
+                    state: StateLimits {
+                        rps: 600.0,
+                        write_rps,
+                        value_kb: 8.0,
+                        txn_ops: 16,
+                    },
+                    cloud: CloudLimits {
+                        rps: 50.0,
+                        list_lag_s: 0.5,
+                    },
+                    resources: Resources {
+                        max_threads: 2000,
+                        cores: 1.0,
+                        ram_mb: 200.0,
+                        max_sockets: 400,
+                    },
+                    clock_error_ms: 0.0,
+                },
+            };
+            let unique = NEXT.fetch_add(1, Ordering::Relaxed);
+            let file = std::env::temp_dir().join(format!(
+                "pulleywood-test-{}-{unique}.json",
+                std::process::id()
+            ));
+            std::fs::write(&file, serde_json::to_string(&settings).unwrap()).unwrap();
+            stage.fronts.push(front);
+            stage.files.push(file);
+            stage.running.push(None);
+            stage.start(n);
+        }
+        for n in 0..CONTROLLERS {
+            stage.wait_ready(n);
+        }
+        stage
+    }
+
+    pub fn start(&mut self, n: usize) {
+        let child = Command::new(env!("CARGO_BIN_EXE_pulleywood"))
+            .arg("--config")
+            .arg(&self.files[n])
+            .env(
+                "LOG_LEVEL",
+                std::env::var("LOG_LEVEL").as_deref().unwrap_or("error"),
+            )
+            .stdout(Stdio::null())
+            .spawn();
+        self.running[n] = Some(child.unwrap());
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        if let Some(mut child) = self.running[n].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Cuts a controller off from the state service and its peers, not from
+    /// workers and users; or ends that.
+    pub fn isolate(&self, n: usize, cut: bool) {
+        self.fronts[n].set(if cut { Fault::Cut } else { Fault::None });
+        for (a, b, relay) in &self.relays {
+            if *a == n || *b == n {
+                relay.set_cut(cut);
+            }
+        }
+    }
+
+    pub fn set_all(&self, fault: Fault) {
+        for front in &self.fronts {
+            front.set(fault);
+        }
+    }
+
+    pub fn call(&self, n: usize, method: &str, path: &str, body: Option<&[u8]>) -> (u16, Vec<u8>) {
+        let client = Client::new(self.serve_on[n], 0);
+        match client.call(method, path, body, Duration::from_secs(5)) {
+            Ok(answer) => (answer.status, answer.body),
+            Err(_) => (0, Vec::new()),
+        }
+    }
+
+    pub fn wait_ready(&self, n: usize) {
+        wait("ready", || self.call(n, "GET", "/ready", None).0 == 200);
+    }
+
+    /// Submits until it is accepted, each time to the next controller.
+    pub fn submit(&self, spec: &JobSpec, run: Duration) {
+        self.world.add_job(spec.clone(), run);
+        let body = cbor::encode(spec);
+        let mut n = 0;
+        wait("accepted", || {
+            n += 1;
+            let (status, _) = self.call(n % CONTROLLERS, "POST", "/v2/runs", Some(&body));
+            assert!(!(400..500).contains(&status) || status == 429, "{status}");
+            status == 200 || status == 201
+        });
+    }
+
+    pub fn status(&self, n: usize, id: &JobId) -> Option<JobStatus> {
+        let (status, body) = self.call(n, "GET", &format!("/v2/runs/{id}"), None);
+        assert_ne!(status, 404, "an accepted job was forgotten");
+        (status == 200).then(|| cbor::decode::<JobAnswer>(&body).unwrap().status)
+    }
+
+    pub fn wait_done(&self, id: &JobId) {
+        wait("done", || {
+            (0..CONTROLLERS).any(|n| {
+                let told = self.status(n, id) == Some(JobStatus::Done);
+                assert!(!told || self.world.is_done(id), "told done too early");
+                told
+            })
+        });
+    }
+
+    pub fn finish(&self) {
+        assert_eq!(self.world.broken(), Vec::<String>::new());
+    }
+}
+
+pub fn job(n: u64, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: JobId::parse(&format!("j-{n:06}")).unwrap(),
+        class: "c".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        rank: Rank::Standard,
+        tasks,
+        cpus: Amount(2.0),
+        gpus: Amount(1.0),
+        memory_gb: Amount(4.0),
+        image: "img".into(),
+        image_gb: Amount(0.0),
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: Amount(1.0),
+        checkpoint_s: Amount(0.0),
+        save_s: Amount(0.0),
+        deadline_s: None,
+    }
+}
+
+pub const SHORT: Duration = Duration::from_millis(300);
+pub const LONG: Duration = Duration::from_secs(4);
