Leave machine types to work that fits no other; queue short tasks; let machines go in batches

Now work that may use more types leaves those to work with fewer to choose from: in what is rented, in the fleet's count and by 30 s of cost in placement. What waits for spot machines is counted in slots of a demand's own size, tasks shorter than a boot queue on what is up, and machines are moved and retired many to a transaction.

--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -3,10 +3,11 @@
 use crate::config::Config;
 use crate::ledger::{Job, PartLedger};
 use crate::room::{Room, add, within};
-use pulleywood_wire::Moment;
+use crate::types::{self, Types};
 use pulleywood_wire::job::Shape;
 use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
 use pulleywood_wire::record::Slots;
+use pulleywood_wire::{JobId, Moment};
 use std::collections::BTreeMap;
 
 impl PartLedger {
@@ -45,11 +46,18 @@
             }
             self.add_demand(&mut demand, job, if broken { 1 } else { u32::MAX });
         }
+        let mut displaced = Vec::new();
+        for (id, count) in self.displaced(config) {
+            if let Some(job) = self.jobs.get(id) {
+                add_demand(&mut displaced, demand_of(job, Vec::new(), count));
+            }
+        }
         let stuck = stuck.into_iter().filter(|(_, all)| *all);
         PartDigest {
             part: self.part,
             rebuilding: self.rebuilding(),
             demand,
+            displaced,
             reserve: self.reserve(),
             machines: self.machine_digests(now, config),
             used,
@@ -59,6 +67,28 @@
         }
     }
 
+    /// Tasks of array jobs on machines of types that they leave to others, by job.
+    fn displaced(&self, config: &Config) -> BTreeMap<&JobId, u32> {
+        let mut counts = BTreeMap::new();
+        let mut known: BTreeMap<&JobId, Types> = BTreeMap::new();
+        for machine in self.machines.values().filter(|_| config.flavors.len() > 1) {
+            for slot in machine.slots.iter().filter(|s| s.holds_room()) {
+                let Some(spec) = &slot.spec else { continue };
+                if spec.shape != Shape::Array {
+                    continue;
+                }
+                let id = &slot.task.job;
+                let left = known
+                    .entry(id)
+                    .or_insert_with(|| self.choices.left_to_others(&types::of_job(config, spec)));
+                if left.contains(&machine.record.flavor) {
+                    *counts.entry(id).or_insert(0) += 1;
+                }
+            }
+        }
+        counts
+    }
+
     /// The largest service job of each class, as room that the next one may
     /// need: half of it in each zone if it is spread.
     fn reserve(&self) -> Vec<Demand> {
@@ -96,22 +126,7 @@
             if count == 0 {
                 continue;
             }
-            let item = demand_of(job, zones, count);
-            let same = demand.iter_mut().find(|d| {
-                (d.cpus, d.gpus, d.memory_gb) == (item.cpus, item.gpus, item.memory_gb)
-                    && d.types == item.types
-                    && d.zones == item.zones
-                    && (d.spot, d.rank, d.free) == (item.spot, item.rank, item.free)
-            });
-            match same {
-                Some(d) => {
-                    let all = f64::from(d.count + count);
-                    d.work_s =
-                        (d.work_s * f64::from(d.count) + item.work_s * f64::from(count)) / all;
-                    d.count += count;
-                }
-                None => demand.push(item),
-            }
+            add_demand(demand, demand_of(job, zones, count));
         }
     }
 
@@ -196,6 +211,24 @@
     }
 }
 
+/// Adds tasks to those of the same shape.
+fn add_demand(demand: &mut Vec<Demand>, item: Demand) {
+    let same = demand.iter_mut().find(|d| {
+        (d.cpus, d.gpus, d.memory_gb) == (item.cpus, item.gpus, item.memory_gb)
+            && d.types == item.types
+            && d.zones == item.zones
+            && (d.spot, d.rank, d.free) == (item.spot, item.rank, item.free)
+    });
+    match same {
+        Some(d) => {
+            let (before, more) = (f64::from(d.count), f64::from(item.count));
+            d.work_s = (d.work_s * before + item.work_s * more) / (before + more);
+            d.count += item.count;
+        }
+        None => demand.push(item),
+    }
+}
+
 /// Some of a job's tasks as a demand.
 fn demand_of(job: &Job, zones: Vec<String>, count: u32) -> Demand {
     let spec = &job.spec;
--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use crate::config::Config;
 use crate::room::Room;
+use crate::types::{self, Choices, Types};
 use pulleywood_wire::cloud::{Flavor, Rental, RentalStatus};
 use pulleywood_wire::job::Rank;
 use pulleywood_wire::peer::{Demand, MachineDigest, PartDigest};
@@ -55,6 +56,8 @@
     draining: BTreeSet<MachineId>,
     /// When a machine that was out of touch was last replaced.
     replaced: Option<Moment>,
+    /// What machine types work had to choose from lately.
+    choices: Choices,
 }
 
 impl Memory {
@@ -199,6 +202,9 @@
     free: Room,
     whole: Room,
     taken: u32,
+    /// The share of its further turns, until another machine would be up, that is
+    /// given to short tasks.
+    queued: f64,
     /// Room held by each rank.
     held: Vec<(Rank, Room)>,
     pinned: f64,
@@ -217,6 +223,7 @@
             free: whole,
             whole,
             taken: 0,
+            queued: 0.0,
             held: Vec::new(),
             pinned: 0.0,
         }
@@ -326,6 +333,7 @@
             free,
             whole,
             taken: 0,
+            queued: 0.0,
             held: digest
                 .map(|(m, _)| {
                     let room = |&(rank, cpus, gpus, memory_gb): &(Rank, f64, f64, f64)| {
@@ -359,20 +367,30 @@
         .values()
         .flat_map(|p| p.demand.iter().map(move |d| (p.part, d)))
         .collect();
-    demands.sort_by_key(|(_, d)| std::cmp::Reverse(d.rank));
+    for (_, demand) in &demands {
+        memory.choices.note(types::of_demand(config, demand), now);
+    }
+    memory.choices.forget(now);
+    // Work that has few types to choose from has its machines counted before
+    // others, which then find what is left, or get machines of other types.
+    let avoids = |memory: &Memory, demand: &Demand| {
+        let types = types::of_demand(config, demand);
+        memory.choices.left_to_others(&types)
+    };
+    demands.sort_by_key(|(_, d)| (!avoids(memory, d).is_empty(), std::cmp::Reverse(d.rank)));
 
     let mut hires: BTreeMap<Kind, u32> = BTreeMap::new();
-    let queued_s: f64 = demands
-        .iter()
-        .filter(|(_, d)| d.spot)
-        .map(|(_, d)| f64::from(d.count) * d.work_s)
-        .sum();
+    let queued: Vec<&Demand> = demands.iter().map(|(_, d)| *d).collect();
+    // Work that has few types to choose from finds no room on them.
+    let mut lacking = false;
     for (part, demand) in demands {
         let need = need(demand);
+        let avoid = avoids(memory, demand);
+        let own = |b: &Bin| !avoid.contains(&b.kind.flavor);
         let mut left = demand.count;
         // Room of the part itself, on machines that are up.
         left = fill(&mut bins, left, demand, &need, |b| {
-            b.part == Some(part) && b.up
+            b.part == Some(part) && b.up && own(b)
         });
         // Idle machines of other parts are moved.
         while left > 0 {
@@ -380,6 +398,7 @@
                 b.part.is_some_and(|p| p != part)
                     && b.taken == 0
                     && b.idle
+                    && own(b)
                     && (!demand.free || near(config, part, b))
                     && b.free.fits(&need)
                     && allows(demand, &b.kind)
@@ -392,14 +411,14 @@
                 actions.push(Action::Move(machine, from, part));
             }
             bin.part = Some(part);
-            left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
+            left = fill(&mut bins, left, demand, &need, |b| b.is_of(part) && own(b));
         }
         // Room left on machines that others use is used by lending them tasks.
         if demand.free && left > 0 {
             for other in seen.parts.keys().filter(|p| **p != part) {
                 let before = left;
                 left = fill(&mut bins, left, demand, &need, |b| {
-                    b.part == Some(*other) && b.up
+                    b.part == Some(*other) && b.up && own(b)
                 });
                 if left < before {
                     let lent = Demand {
@@ -412,13 +431,13 @@
         }
         // What lower ranks hold yields, here or in another part.
         left = press(&mut bins, left, demand, &need, |b| {
-            b.part == Some(part) && b.up
+            b.part == Some(part) && b.up && own(b)
         });
         if demand.free && left > 0 {
             for other in seen.parts.keys().filter(|p| **p != part) {
                 let before = left;
                 left = press(&mut bins, left, demand, &need, |b| {
-                    b.part == Some(*other) && b.up
+                    b.part == Some(*other) && b.up && own(b)
                 });
                 if left < before {
                     let lent = Demand {
@@ -430,7 +449,9 @@
             }
         }
         // Machines on their way come after all that is up: some never arrive.
-        left = fill(&mut bins, left, demand, &need, |b| b.is_of(part));
+        left = fill(&mut bins, left, demand, &need, |b| b.is_of(part) && own(b));
+        left = queue_up(config, &mut bins, left, demand, &need, own);
+        lacking |= left > 0 && avoid.is_empty();
         // The rest is rented.
         let mut guard = 0;
         let mut all = if left > 0 && demand.spot {
@@ -440,14 +461,15 @@
         };
         while left > 0 && guard < MAX_HIRE {
             guard += 1;
-            let Some((kind, flavor)) = cheapest(config, memory, demand, &need, now, &hires) else {
+            let chosen = cheapest(config, memory, demand, &need, &avoid, now, &hires);
+            let Some((kind, flavor)) = chosen else {
                 break;
             };
             // Spot machines are to be had no more. What runs now will have
             // made room before a dearer machine is up, unless much waits.
             if demand.spot && !kind.spot {
                 let patience = flavor.boot_s.0 * config.policy.overflow;
-                if queued_s <= patience * all {
+                if queued_s(&queued, demand, flavor) <= patience * all {
                     break;
                 }
             }
@@ -455,6 +477,33 @@
             all += slots(&bin, demand, &need);
             // All before it are as full as they get.
             left = fill(&mut bin, left, demand, &need, |_| true);
+            left = queue_up(config, &mut bin, left, demand, &need, |_| true);
+            bins.extend(bin);
+            *hires.entry(kind).or_insert(0) += 1;
+        }
+    }
+    // What runs on machines that others wait for, or are about to, ends there and
+    // comes again: it gets machines of its own.
+    let displaced = seen.parts.values().flat_map(|p| &p.displaced);
+    for demand in displaced.filter(|_| lacking) {
+        let need = need(demand);
+        let avoid = avoids(memory, demand);
+        if avoid.is_empty() {
+            continue;
+        }
+        let own = |b: &Bin| !avoid.contains(&b.kind.flavor);
+        let mut left = fill(&mut bins, demand.count, demand, &need, own);
+        left = queue_up(config, &mut bins, left, demand, &need, own);
+        let mut guard = 0;
+        while left > 0 && guard < MAX_HIRE {
+            guard += 1;
+            let chosen = cheapest(config, memory, demand, &need, &avoid, now, &hires);
+            let Some((kind, flavor)) = chosen else { break };
+            if avoid.contains(&kind.flavor) || kind.spot != demand.spot {
+                break;
+            }
+            let mut bin = [Bin::fresh(None, kind.clone(), flavor)];
+            left = fill(&mut bin, left, demand, &need, |_| true);
             bins.extend(bin);
             *hires.entry(kind).or_insert(0) += 1;
         }
@@ -466,7 +515,9 @@
         let mut guard = 0;
         while left > 0 && guard < 50 {
             guard += 1;
-            let Some((kind, flavor)) = cheapest(config, memory, &demand, &need, now, &hires) else {
+            let avoid = avoids(memory, &demand);
+            let chosen = cheapest(config, memory, &demand, &need, &avoid, now, &hires);
+            let Some((kind, flavor)) = chosen else {
                 break;
             };
             let mut bin = [Bin::fresh(None, kind.clone(), flavor)];
@@ -523,6 +574,58 @@
         .sum()
 }
 
+/// Takes from a demand's waiting tasks those that machines which are up, or on
+/// their way, begin one after the other before yet another would be up: tasks that
+/// run for less than a boot. What is left over.
+fn queue_up(
+    config: &Config,
+    bins: &mut [Bin],
+    mut left: u32,
+    demand: &Demand,
+    need: &Room,
+    of: impl Fn(&Bin) -> bool,
+) -> u32 {
+    if demand.work_s <= 0.0 {
+        return left;
+    }
+    for bin in bins.iter_mut().filter(|b| of(b)) {
+        if left == 0 {
+            break;
+        }
+        let boot = config
+            .flavors
+            .get(&bin.kind.flavor)
+            .map_or(0.0, |f| f.boot_s.0);
+        let turns = boot / demand.work_s - 1.0;
+        if turns <= 0.0 || !allows(demand, &bin.kind) {
+            continue;
+        }
+        let all = f64::from(bin.whole.times(need)) * (1.0 - bin.pinned).max(0.0) * turns;
+        let n = ((all * (1.0 - bin.queued)) as u32).min(left);
+        if n > 0 {
+            bin.queued += f64::from(n) / all;
+            left -= n;
+        }
+    }
+    left
+}
+
+/// Seconds of work that wait for spot machines, in slots of a demand's size on a
+/// machine type that they may go to as well.
+fn queued_s(queued: &[&Demand], demand: &Demand, flavor: &Flavor) -> f64 {
+    let whole = Room::of_flavor(flavor);
+    let share = |d: &Demand| need(d).share_of(&whole);
+    let one = share(demand).max(1e-6);
+    let may = |d: &&&Demand| {
+        let allowed = d.types.as_ref().is_none_or(|t| t.contains(&flavor.label));
+        d.spot && allowed && whole.fits(&need(d))
+    };
+    let queued = queued.iter().filter(may);
+    queued
+        .map(|d| f64::from(d.count) * d.work_s * share(d) / one)
+        .sum()
+}
+
 /// Fills free room with a demand; what is left over.
 fn fill(
     bins: &mut [Bin],
@@ -592,6 +695,7 @@
     memory: &Memory,
     demand: &Demand,
     need: &Room,
+    avoid: &Types,
     now: Moment,
     hires: &BTreeMap<Kind, u32>,
 ) -> Option<(Kind, &'a Flavor)> {
@@ -612,7 +716,9 @@
                 if !allows(demand, &kind) || !memory.open(&kind, now) {
                     continue;
                 }
-                let price = if spot {
+                // A machine that it takes from those who can use no other type
+                // costs them the dearer kind.
+                let price = if spot && !avoid.contains(&flavor.label) {
                     flavor.spot_price.0
                 } else {
                     flavor.price.0
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -14,6 +14,7 @@
 use crate::lend::bindings;
 use crate::machine::{Machine, Slot, SlotState};
 use crate::room::{Room, add};
+use crate::types::Choices;
 use pulleywood_wire::cbor::Amount;
 use pulleywood_wire::job::Shape;
 use pulleywood_wire::record::{
@@ -176,6 +177,8 @@
     pub elsewhere: BTreeMap<String, Slots>,
     /// The cluster's zones.
     pub zones: Vec<String>,
+    /// What machine types work had to choose from lately, here and elsewhere.
+    pub choices: Choices,
     /// What to add to a time of day in milliseconds for this process's time.
     pub day_offset_ms: i64,
     pub(crate) plan: BTreeMap<MachineId, Vec<TaskId>>,
@@ -202,6 +205,7 @@
             silent_until,
             elsewhere: BTreeMap::new(),
             zones,
+            choices: Choices::default(),
             day_offset_ms: 0,
             plan: BTreeMap::new(),
             planned_at: None,
--- a/crates/pulleywood-core/src/lib.rs
+++ b/crates/pulleywood-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod place;
 pub mod reach;
 pub mod room;
+pub mod types;
 
 pub use config::Config;
 pub use ledger::PartLedger;
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -9,6 +9,7 @@
 use crate::ledger::{Job, PartLedger};
 use crate::machine::{Slot, SlotState};
 use crate::room::{MOST_TASKS, Room, add, within};
+use crate::types::{self, Types};
 use pulleywood_wire::job::{Rank, Shape};
 use pulleywood_wire::record::Slots;
 use pulleywood_wire::{JobId, JobSpec, MachineId, Moment, TaskId};
@@ -25,6 +26,9 @@
 /// Seconds of delay that are worth not taking all of a machine's processors from
 /// its GPUs.
 const STRANDED_S: f64 = 20.0;
+/// Seconds of delay that are worth leaving a machine to work that can use no
+/// other type.
+const SCARCE_S: f64 = 30.0;
 /// Most tasks of a job that one plan leaves for room which yields.
 const MOST_PASSED: u32 = 64;
 /// Most launches in one answer, which has a size too.
@@ -106,7 +110,13 @@
     }
 
     /// What it costs to run a task here, in seconds of delay.
-    fn cost(&self, spec: &JobSpec, config: &Config) -> f64 {
+    /// `avoid`: types that it leaves to others.
+    fn cost(&self, spec: &JobSpec, avoid: &Types, config: &Config) -> f64 {
+        let scarce = if avoid.contains(self.flavor) {
+            SCARCE_S
+        } else {
+            0.0
+        };
         let bias = if spec.spot && !self.spot {
             config.policy.spot_bias_s
         } else {
@@ -119,7 +129,7 @@
         } else {
             1.0 - self.pinned
         };
-        self.delay(spec) + bias + 10.0 * spread + STRANDED_S * self.stranded(spec)
+        self.delay(spec) + bias + scarce + 10.0 * spread + STRANDED_S * self.stranded(spec)
     }
 
     /// The share of this machine's GPUs that a task without one leaves without
@@ -623,15 +633,26 @@
         kept.len()
     }
 
+    /// Types that a job leaves to work which can use no others.
+    fn left_to_others(&self, spec: &JobSpec) -> Types {
+        match self.config.flavors.len() {
+            0 | 1 => Types::new(),
+            _ => {
+                let types = types::of_job(self.config, spec);
+                self.ledger.choices.left_to_others(&types)
+            }
+        }
+    }
+
     /// Sites with room for one more task of a job, and what it costs there.
-    fn candidates(&self, job: &Job, need: &Room) -> Vec<(f64, usize)> {
+    fn candidates(&self, job: &Job, need: &Room, avoid: &Types) -> Vec<(f64, usize)> {
         let spec = &job.spec;
         self.looks.set(self.looks.get() + self.open.len() as u64);
         let fit = |at: &&usize| {
             let site = &self.sites[**at];
             site.free.fits(need) && site.allows(spec) && !job.health.avoids(site.id, self.now)
         };
-        let cost = |at: &usize| (self.sites[*at].cost(spec, self.config), *at);
+        let cost = |at: &usize| (self.sites[*at].cost(spec, avoid, self.config), *at);
         self.open.iter().filter(fit).map(cost).collect()
     }
 
@@ -653,7 +674,8 @@
                 *zones.entry(site.zone.to_owned()).or_insert(0) += 1;
             }
         }
-        let mut candidates = self.candidates(job, &need);
+        let avoid = self.left_to_others(spec);
+        let mut candidates = self.candidates(job, &need, &avoid);
         if spec.shape == Shape::Gang {
             // All or nothing: a part of a gang would only wait for the rest.
             let room: u32 = candidates
@@ -718,7 +740,7 @@
             *zones.entry(site.zone.to_owned()).or_insert(0) += 1;
             add_to(&mut self.used, &spec.team, need.slots());
             if site.left > 0 && site.free.fits(&need) {
-                candidates[nth].0 = site.cost(spec, self.config);
+                candidates[nth].0 = site.cost(spec, &avoid, self.config);
             } else {
                 candidates.swap_remove(nth);
             }
@@ -802,6 +824,7 @@
         let mut used = self.used.clone();
         let mut beyond = self.beyond(spec, &used);
         let stops = self.may_stop(spec, &beyond);
+        let avoid = self.left_to_others(spec);
         let offer = |planner: &Self, at: usize, beyond: &BTreeSet<&str>| {
             let site = &planner.sites[at];
             planner.looks.set(planner.looks.get() + 1);
@@ -811,7 +834,12 @@
             let (loss, victims) = fits
                 .then(|| planner.victims(site, spec, &need, beyond, stops))
                 .flatten()?;
-            Some((loss + site.delay(spec), at, victims))
+            let scarce = if avoid.contains(site.flavor) {
+                SCARCE_S
+            } else {
+                0.0
+            };
+            Some((loss + scarce + site.delay(spec), at, victims))
         };
         let all = |planner: &Self, beyond: &BTreeSet<&str>| -> Vec<Offer> {
             let offer = |at| offer(planner, at, beyond);
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -12,12 +12,12 @@
 pub enum Ask {
     /// What this controller knows and needs.
     Digest(Box<Digest>),
-    /// Give an idle machine to another part.
-    Move(MachineId, PartId),
+    /// Give idle machines to another part.
+    Move(Vec<MachineId>, PartId),
     /// Launch nothing more on these machines for now, so that they fall idle.
     Drain(Vec<MachineId>),
-    /// Give a machine back to the cloud once it is idle.
-    Retire(MachineId),
+    /// Give idle machines back to the cloud.
+    Retire(Vec<MachineId>),
     /// Lend up to this many waiting tasks of one shape to another part.
     Lend(PartId, PartId, Box<Demand>),
     /// Give up unused slots of these teams down to what is stated.
@@ -72,6 +72,9 @@
     pub rebuilding: bool,
     /// Waiting tasks by shape.
     pub demand: Vec<Demand>,
+    /// Tasks, waiting or not, on machines of types that other work alone can use.
+    #[serde(default)]
+    pub displaced: Vec<Demand>,
     /// Room that the next service job may need: the largest of each class.
     pub reserve: Vec<Demand>,
     /// Its machines.
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -10,7 +10,7 @@
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::cloud::{Hire, Rental};
-use pulleywood_wire::peer::Ask;
+use pulleywood_wire::peer::{Ask, Demand};
 use pulleywood_wire::record::{
     Holder, MachineRecord, ROLE, Slots, TERM, TermRecord, grant_key, part_key,
 };
@@ -385,35 +385,60 @@
     }
 }
 
+/// What is asked of a part's owner in a round.
+#[derive(Default)]
+struct Errands {
+    moves: BTreeMap<PartId, Vec<MachineId>>,
+    loans: Vec<(PartId, Box<Demand>)>,
+    drained: Vec<MachineId>,
+    retired: Vec<MachineId>,
+}
+
 /// Asks parts' owners, all at once and each in order, until the round is over:
 /// they wait for tokens, and the fleet must not wait for them. What is left is
 /// decided anew. Machines that were to be moved and were not are returned.
-fn run_errands(shared: &Arc<Shared>, errands: Vec<Action>, until: Moment) -> Vec<MachineId> {
-    let mut by_part: BTreeMap<PartId, Vec<Action>> = BTreeMap::new();
-    for errand in errands {
-        let part = match &errand {
-            Action::Move(_, from, _) | Action::Lend(from, ..) => *from,
+fn run_errands(shared: &Arc<Shared>, actions: Vec<Action>, until: Moment) -> Vec<MachineId> {
+    let mut by_part: BTreeMap<PartId, Errands> = BTreeMap::new();
+    for action in actions {
+        let part = match &action {
+            Action::Move(_, part, _) | Action::Lend(part, ..) => *part,
             Action::Drain(part, _) | Action::Retire(_, part) => *part,
             Action::Hire(..) | Action::Release(..) => continue,
         };
-        by_part.entry(part).or_default().push(errand);
+        let errands = by_part.entry(part).or_default();
+        match action {
+            Action::Move(id, _, to) => errands.moves.entry(to).or_default().push(id),
+            Action::Lend(_, to, like) => errands.loans.push((to, like)),
+            Action::Drain(_, machines) => errands.drained.extend(machines),
+            Action::Retire(id, _) => errands.retired.push(id),
+            Action::Hire(..) | Action::Release(..) => {}
+        }
     }
     let unmoved = parking_lot::Mutex::new(Vec::new());
     std::thread::scope(|scope| {
         for (part, errands) in by_part {
             let unmoved = &unmoved;
             let run = move || {
-                for errand in errands {
-                    let late = shared.clock.now() >= until;
-                    if let Action::Move(machine, ..) = &errand
-                        && late
-                    {
-                        unmoved.lock().push(machine.clone());
-                    }
-                    if !late {
-                        run_errand(shared, part, errand);
+                let late = || shared.clock.now() >= until;
+                for (to, machines) in errands.moves {
+                    log::debug!("moving {machines:?} from part {part} to {to}");
+                    if late() {
+                        unmoved.lock().extend(machines);
+                    } else {
+                        ask_owner(shared, part, Ask::Move(machines, to));
                     }
                 }
+                for (to, like) in errands.loans.into_iter().take_while(|_| !late()) {
+                    log::debug!("part {part} lends {} tasks to {to}", like.count);
+                    ask_owner(shared, part, Ask::Lend(part, to, like));
+                }
+                if !errands.drained.is_empty() && !late() {
+                    ask_owner(shared, part, Ask::Drain(errands.drained));
+                }
+                if !errands.retired.is_empty() && !late() {
+                    log::debug!("retiring {:?} of part {part}", errands.retired);
+                    ask_owner(shared, part, Ask::Retire(errands.retired));
+                }
             };
             let thread = std::thread::Builder::new().stack_size(128 * 1024);
             if let Err(e) = thread.spawn_scoped(scope, run) {
@@ -424,26 +449,6 @@
     unmoved.into_inner()
 }
 
-fn run_errand(shared: &Arc<Shared>, part: PartId, errand: Action) {
-    let ask = match errand {
-        Action::Move(machine, from, to) => {
-            log::debug!("moving {machine} from part {from} to {to}");
-            Ask::Move(machine, to)
-        }
-        Action::Lend(from, to, like) => {
-            log::debug!("part {from} lends {} tasks to {to}", like.count);
-            Ask::Lend(from, to, like)
-        }
-        Action::Drain(_, machines) => Ask::Drain(machines),
-        Action::Retire(machine, part) => {
-            log::debug!("retiring {machine} of part {part}");
-            Ask::Retire(machine)
-        }
-        Action::Hire(..) | Action::Release(..) => return,
-    };
-    ask_owner(shared, part, ask);
-}
-
 /// Requests whose outcome is unknown are repeated under the same name.
 fn settle_pending(shared: &Arc<Shared>, office: &mut Office) {
     let now = shared.clock.now();
--- a/crates/pulleywood/src/errands.rs
+++ b/crates/pulleywood/src/errands.rs
@@ -1,6 +1,6 @@
 //! What the coordinator asks of an owner: waiting tasks lent, machines let go.
 
-use crate::node::{Shared, read};
+use crate::node::{Owned, Shared, read};
 use crate::owner::newest_term;
 use pulleywood_core::lend::Offer;
 use pulleywood_net::state::Outcome;
@@ -16,6 +16,8 @@
 
 /// Lending goes on for this long at a time.
 const LEND_TIME: Duration = Duration::from_millis(1000);
+/// So does letting machines go: whoever asked waits no longer than for three.
+const LET_GO_TIME: Duration = Duration::from_millis(1500);
 
 /// Lends waiting tasks of a part held here to another part. The shrunken
 /// share is committed before the other part can see its larger one.
@@ -89,8 +91,36 @@
     lent
 }
 
-/// The transaction that moves or retires a machine of a part held here.
-pub fn let_go(shared: &Arc<Shared>, id: &MachineId, to: Option<PartId>) -> bool {
+/// Moves or retires machines of a part held here, as many to a transaction as it
+/// may change racks: one at a time, idle machines were given back far slower than
+/// they fell idle. Those that stay are returned.
+pub fn let_go(shared: &Arc<Shared>, ids: &[MachineId], to: Option<PartId>) -> Vec<MachineId> {
+    let mut by_rack: BTreeMap<u64, Vec<MachineId>> = BTreeMap::new();
+    let ops = {
+        let node = shared.node.lock();
+        for id in ids {
+            let rack = node.view.racks.find(id).unwrap_or(u64::MAX);
+            by_rack.entry(rack).or_default().push(id.clone());
+        }
+        node.config.batch_ops
+    };
+    // A move draws a term too.
+    let most = ops.saturating_sub(usize::from(to.is_some())).max(1);
+    let end = shared.clock.now() + LET_GO_TIME;
+    let racks: Vec<Vec<MachineId>> = by_rack.into_values().collect();
+    let mut stayed = Vec::new();
+    for some in racks.chunks(most) {
+        let some = some.concat();
+        if shared.clock.now() >= end || !let_some_go(shared, &some, to) {
+            stayed.extend(some);
+        }
+    }
+    stayed
+}
+
+/// One transaction of [`let_go`]; whether it was applied. Machines that may not
+/// leave now are left out.
+fn let_some_go(shared: &Arc<Shared>, ids: &[MachineId], to: Option<PartId>) -> bool {
     let now = shared.clock.now();
     let Ok((term, term_stamp)) = (if to.is_some() {
         newest_term(shared)
@@ -107,34 +137,56 @@
         let node = &mut *node;
         let bytes = node.config.rack_bytes();
         let racks = &node.view.racks;
-        node.owned.iter_mut().find_map(|(part, owned)| {
-            if !owned.loaded || owned.leaving || !owned.ledger.may_leave(id) {
-                return None;
+        let leaves = |owned: &Owned, id: &MachineId| {
+            owned.loaded && !owned.leaving && owned.ledger.may_leave(id)
+        };
+        let part = node.owned.iter_mut().find(|(_, owned)| {
+            let mut ids = ids.iter();
+            ids.any(|id| leaves(owned, id))
+        });
+        part.map(|(part, owned)| {
+            let mut edits = BTreeMap::new();
+            for id in ids {
+                if !leaves(owned, id) {
+                    continue;
+                }
+                let Some(machine) = owned.ledger.machines.get_mut(id) else {
+                    continue;
+                };
+                machine.leaving = true;
+                let mut next = machine.record.clone();
+                match to {
+                    Some(to) => {
+                        next.part = to;
+                        next.term = Term(term.0 + 1);
+                    }
+                    None => next.retiring = true,
+                }
+                edits.insert(id.clone(), Some(next));
             }
-            let machine = owned.ledger.machines.get_mut(id)?;
-            machine.leaving = true;
-            let mut next = machine.record.clone();
             owned.ledger.disturb();
             let mut commit = Commit::default().when(part_key(*part), owned.stamp);
-            match to {
-                Some(to) => {
-                    next.part = to;
-                    next.term = Term(term.0 + 1);
-                    let record = TermRecord { last: next.term };
-                    commit = commit.when(TERM, term_stamp).write(TERM, &record);
-                }
-                None => next.retiring = true,
+            if to.is_some() {
+                let last = Term(term.0 + 1);
+                commit = commit
+                    .when(TERM, term_stamp)
+                    .write(TERM, &TermRecord { last });
             }
-            let edits = BTreeMap::from([(id.clone(), Some(next))]);
             let (commit, after) = racks.change(commit, &edits, bytes);
-            Some((*part, owned.stamp, commit, after))
+            let gone: Vec<MachineId> = edits.into_keys().collect();
+            (*part, owned.stamp, commit, after, gone)
         })
     };
-    let Some((part, part_stamp, commit, after)) = prepared else {
+    let Some((part, part_stamp, commit, after, gone)) = prepared else {
         return false;
     };
+    let stay_all = || {
+        for id in &gone {
+            stay(shared, part, id);
+        }
+    };
     if after.is_empty() {
-        stay(shared, part, id);
+        stay_all();
         return false;
     }
     let outcome = shared.state.commit(Class::House, &commit);
@@ -142,18 +194,20 @@
     match outcome {
         Ok(Outcome::Applied(stamp)) => {
             shared.node.lock().put_racks(after, stamp, now);
-            log::info!("part {part} let {id} go: {to:?}");
+            log::info!("part {part} let {gone:?} go: {to:?}");
             true
         }
         Ok(Outcome::Conflict)
         | Err(StateError::NotSent(_) | StateError::Refused(_) | StateError::Budget(_)) => {
-            stay(shared, part, id);
+            stay_all();
             false
         }
         Err(_) => {
             // It may be applied minutes from now. Until a newer write fences
-            // it off, the machine stays out of use.
-            fence_machine(shared, part, part_stamp, id);
+            // it off, the machines stay out of use.
+            for id in &gone {
+                fence_machine(shared, part, part_stamp, id);
+            }
             false
         }
     }
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -5,6 +5,7 @@
 use crate::follow::Reads;
 use crate::intake::Intake;
 use parking_lot::{Condvar, Mutex};
+use pulleywood_core::types::{self, Choices};
 use pulleywood_core::{Config, PartLedger, home};
 use pulleywood_net::peer::PeerClient;
 use pulleywood_net::{CloudClient, Pace, StateClient};
@@ -184,6 +185,8 @@
     /// nothing: it revived jobs that had ended, and tasks that had just been lent
     /// to another part, which then ran in both.
     pub own_writes: BTreeMap<JobId, Stamp>,
+    /// What machine types work had to choose from lately, over all parts.
+    choices: Choices,
     /// Processes of other controllers that were followed by newer ones.
     pub former: VecDeque<u64>,
     /// Digests of the parts held here, and when they were made.
@@ -235,6 +238,7 @@
             digests: BTreeMap::new(),
             unreached: (Moment(0), 0),
             own_writes: BTreeMap::new(),
+            choices: Choices::default(),
             former: VecDeque::new(),
             own_digests: Default::default(),
             sent: Vec::new(),
@@ -290,12 +294,37 @@
         if now.since(*made) < OWN_DIGESTS && held.eq(digests.iter().map(|d| d.part)) {
             return digests.clone();
         }
+        self.share_choices(now);
         let loaded = self.owned.values().filter(|o| o.loaded);
         let made = loaded.map(|o| Arc::new(o.ledger.digest(now, &self.config)));
         self.own_digests = (now, made.collect());
         self.own_digests.1.clone()
     }
 
+    /// Tells each part's ledger what machine types waiting work may use, here and
+    /// in other parts.
+    fn share_choices(&mut self, now: Moment) {
+        if self.config.flavors.len() < 2 {
+            return;
+        }
+        let config = &self.config;
+        let fresh = self.digests.values();
+        let fresh = fresh.filter(|(_, at)| now.since(*at) < Duration::from_secs(4));
+        for demand in fresh.flat_map(|(d, _)| &d.parts).flat_map(|p| &p.demand) {
+            self.choices.note(types::of_demand(config, demand), now);
+        }
+        for owned in self.owned.values() {
+            let jobs = owned.ledger.jobs.values();
+            for job in jobs.filter(|j| !j.waiting.is_empty()) {
+                self.choices.note(types::of_job(config, &job.spec), now);
+            }
+        }
+        self.choices.forget(now);
+        for owned in self.owned.values_mut() {
+            owned.ledger.choices.clone_from(&self.choices);
+        }
+    }
+
     /// All fresh digests of owned parts, this controller's included.
     pub fn all_parts(&mut self, now: Moment) -> BTreeMap<PartId, Arc<PartDigest>> {
         let mut all: BTreeMap<PartId, Arc<PartDigest>> = self
--- a/crates/pulleywood/src/peers.rs
+++ b/crates/pulleywood/src/peers.rs
@@ -69,7 +69,7 @@
             node.take_digest(*digest, now);
             Reply::Serving(node.serving(now))
         }
-        Ask::Move(machine, to) => taken(errands::let_go(shared, &machine, Some(to))),
+        Ask::Move(machines, to) => taken(errands::let_go(shared, &machines, Some(to)).is_empty()),
         Ask::Drain(machines) => {
             let until = shared.clock.now() + DRAIN;
             for owned in shared.node.lock().owned.values_mut() {
@@ -77,7 +77,7 @@
             }
             Reply::Ok
         }
-        Ask::Retire(machine) => taken(errands::let_go(shared, &machine, None)),
+        Ask::Retire(machines) => taken(errands::let_go(shared, &machines, None).is_empty()),
         Ask::Lend(from, to, like) => taken(errands::lend(shared, from, to, &like)),
         Ask::Shrink(part, to) => taken(coordinator::shrink(shared, part, &to)),
         Ask::Tokens => Reply::Tokens(shared.state.budget().lend_writes()),
--- a/crates/pulleywood/tests/meetings.rs
+++ b/crates/pulleywood/tests/meetings.rs
@@ -13,9 +13,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::time::Duration;
 
-/// `cancel_s` of the stage, and what a busy machine may take beside it: a task
-/// that nothing stops stays for much longer.
-const CANCEL: Duration = Duration::from_secs(6 + 3);
+/// What a busy machine may take beside `cancel_s`: a task that nothing stops stays
+/// for much longer.
+const SLACK: Duration = Duration::from_secs(3);
 
 fn service(n: u64, tasks: u32) -> JobSpec {
     JobSpec {
@@ -38,7 +38,7 @@
             status == 200 && told(&body) == JobStatus::Cancelled
         })
     });
-    stage.world.told_cancelled(id, CANCEL);
+    stage.world.told_cancelled(id, stage.cancel + SLACK);
 }
 
 /// All tasks of a cancelled job are gone, and stay so.
@@ -260,9 +260,11 @@
 #[test]
 fn a_team_at_its_limit_stays_within_it_while_cancelled_tasks_are_out_of_reach() {
     // Its machines fall silent, its jobs are cancelled, the owners change: what
-    // may still run counts against the limit until it surely does not.
+    // may still run counts against the limit until it surely does not, also for
+    // jobs that come later, which need not wait for what earlier ones may run. The
+    // lease leaves time to rent other machines while the tasks are still there.
     for keep_owners in [true, false] {
-        let mut stage = Stage::new(4.0);
+        let mut stage = Stage::of(4.0, 200.0, 10);
         let spec = service(1, 4);
         stage.submit(&spec, LONG);
         wait("all run", || stage.world.running(&spec.id) == 4);
@@ -270,12 +272,12 @@
             stage.cloud.worker(&machine).unwrap().set_cut(true);
         }
         cancel(&stage, &[0, 1, 2], &spec.id);
-        let next = job(2, 4);
-        stage.submit(&next, SHORT);
         for n in (0..CONTROLLERS).filter(|_| !keep_owners) {
             stage.kill(n);
             stage.start(n);
         }
+        let next = job(2, 4);
+        stage.submit(&next, SHORT);
         gone(&stage, &spec.id);
         stage.wait_done(&next.id);
         stage.finish();
@@ -318,11 +320,12 @@
 #[test]
 fn machines_up_at_once_are_known_to_the_next_owner_though_writes_lag() {
     // Work goes to machines that are just up, while transactions are carried out
-    // late; then the owners end, and a machine with tasks falls silent.
-    let mut stage = Stage::new(0.0);
+    // late; then the owners end, and a machine with tasks falls silent. Its lease
+    // leaves time to rent another while they are still on it.
+    let mut stage = Stage::of(0.0, 200.0, 6);
     stage.set_all(Fault::SomeLate(600));
-    let spec = job(1, 6);
-    stage.submit(&spec, LONG);
+    let spec = job(1, 4);
+    stage.submit(&spec, Duration::from_secs(8));
     wait("running", || stage.world.running(&spec.id) > 0);
     let machine = stage.world.machines_of(&spec.id).pop_first().unwrap();
     stage.cloud.worker(&machine).unwrap().set_cut(true);
--- a/crates/pulleywood/tests/stage/mod.rs
+++ b/crates/pulleywood/tests/stage/mod.rs
@@ -58,6 +58,7 @@
     pub serve_on: Vec<SocketAddr>,
     pub files: Vec<std::path::PathBuf>,
     pub running: Vec<Option<Child>>,
+    pub cancel: Duration,
 }
 
 impl Drop for Stage {
@@ -80,6 +81,12 @@
 
     /// The same with `write_rps` writes a second to the state service.
     pub fn with(limit: f64, write_rps: f64) -> Stage {
+        Stage::of(limit, write_rps, 2)
+    }
+
+    /// The same with workers' leases of `lease` seconds.
+    pub fn of(limit: f64, write_rps: f64, lease: u32) -> Stage {
+        let lease_s = f64::from(lease);
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let world = Arc::new(World::default());
         if limit > 0.0 {
@@ -99,8 +106,18 @@
             boot_s: Amount(1.0),
             zones: vec!["a".into()],
         };
-        let (report, lease) = (Duration::from_millis(200), Duration::from_secs(2));
-        let cloud = Cloud::start(flavor, 4, report, lease, controllers.clone(), world.clone());
+        let (report, worker_lease) = (
+            Duration::from_millis(200),
+            Duration::from_secs(lease.into()),
+        );
+        let cloud = Cloud::start(
+            flavor,
+            4,
+            report,
+            worker_lease,
+            controllers.clone(),
+            world.clone(),
+        );
         let cloud = cloud.unwrap();
         let serve_on: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_port()).collect();
         let peers: Vec<SocketAddr> = (0..CONTROLLERS).map(|_| free_port()).collect();
@@ -119,6 +136,7 @@
             serve_on,
             files: Vec::new(),
             running: Vec::new(),
+            cancel: Duration::from_secs(u64::from(lease) + 4),
         };
         for n in 0..CONTROLLERS {
             let front = stage.state.front().unwrap();
@@ -161,8 +179,8 @@
                     objectives: vec![],
                     workers: Workers {
                         report_s: 0.2,
-                        lease_s: 2.0,
-                        cancel_s: 6.0,
+                        lease_s,
+                        cancel_s: lease_s + 4.0,
                     },
                     state: StateLimits {
                         rps: 600.0,
