Hold launches of jobs that are being cancelled, and launch on no old view

Now the canceller tells owners over the peer port beside its transaction, which holds launches of that job back for a lease and ends nothing, and nothing is launched on a view older than three seconds. Machines just adopted count as room for all parts; work on types that others need is stopped only after some reports. Tables for all of these, and for the span of answers at both edges.

--- a/crates/pulleywood-core/src/fleet.rs
+++ b/crates/pulleywood-core/src/fleet.rs
@@ -448,8 +448,11 @@
                 }
             }
         }
-        // Machines on their way come after all that is up: some never arrive.
-        left = fill(&mut bins, left, demand, &need, |b| b.is_of(part) && own(b));
+        // Machines on their way come after all that is up: some never arrive. Those
+        // that another part has just adopted are moved or lent to in a moment.
+        left = fill(&mut bins, left, demand, &need, |b| {
+            own(b) && (b.is_of(part) || demand.free && !b.up)
+        });
         left = queue_up(config, &mut bins, left, demand, &need, own);
         lacking |= left > 0 && avoid.is_empty();
         // The rest is rented.
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -73,6 +73,9 @@
     pub broken: bool,
     /// It may have been launched by an earlier owner.
     pub old: bool,
+    /// Its user is cancelling it, as another controller said: nothing of it is
+    /// launched until then. Only its record says whether it ended.
+    pub cancelling_until: Moment,
     /// What its failures show.
     pub health: Health,
     /// When this owner first saw it wait.
@@ -297,6 +300,7 @@
                     round: None,
                     broken: false,
                     old,
+                    cancelling_until: Moment(0),
                     health: Health::default(),
                     seen: now,
                 };
@@ -391,6 +395,15 @@
         self.disturb();
     }
 
+    /// A job's user is cancelling it: until the watch says so, or for this long,
+    /// nothing of it is launched. It ends nothing, as the cancellation may fail.
+    pub fn cancelling(&mut self, id: &JobId, until: Moment) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.cancelling_until = job.cancelling_until.max(until);
+            self.disturb();
+        }
+    }
+
     /// A machine's record appeared or changed. `inherited`: an earlier owner
     /// may have launched tasks on it, which it did only if the record holds
     /// the worker's address.
@@ -741,7 +754,8 @@
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            if !job.waiting.contains(task.index) || job.active.contains_key(&task.index) {
+            let waits = job.waiting.contains(task.index) && now >= job.cancelling_until;
+            if !waits || job.active.contains_key(&task.index) {
                 continue;
             }
             let shared = job.round.filter(|_| job.spec.shape == Shape::Gang);
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -29,6 +29,8 @@
 /// Seconds of delay that are worth leaving a machine to work that can use no
 /// other type.
 const SCARCE_S: f64 = 30.0;
+/// Reports within which room in other parts is found for a job by lending.
+const LENT_REPORTS: f64 = 2.5;
 /// Most tasks of a job that one plan leaves for room which yields.
 const MOST_PASSED: u32 = 64;
 /// Most launches in one answer, which has a size too.
@@ -333,7 +335,8 @@
         let rebuilding = self.rebuilding();
         for (id, job) in &self.jobs {
             let unseen = rebuilding && self.may_run_unseen(job);
-            if job.waiting.is_empty() || job.health.is_held(now) || unseen {
+            let held = job.health.is_held(now) || now < job.cancelling_until;
+            if job.waiting.is_empty() || held || unseen {
                 continue;
             }
             let age = now.since(self.submitted(job)).as_secs_f64();
@@ -825,9 +828,14 @@
         let mut beyond = self.beyond(spec, &used);
         let stops = self.may_stop(spec, &beyond);
         let avoid = self.left_to_others(spec);
+        // What yields on a machine that others alone can use is worth waiting some
+        // reports for: room of other types is lent, or on its way.
+        let age = self.now.since(self.ledger.submitted(job));
+        let early = age < self.config.report.mul_f64(LENT_REPORTS);
         let offer = |planner: &Self, at: usize, beyond: &BTreeSet<&str>| {
             let site = &planner.sites[at];
             planner.looks.set(planner.looks.get() + 1);
+            let stops = stops && !(early && avoid.contains(site.flavor));
             let fits = site.allows(spec)
                 && !job.health.avoids(site.id, planner.now)
                 && site.whole.fits(&need);
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -416,3 +416,101 @@
         );
     }
 }
+
+/// A second type, small and cheap, but dearer for a small task.
+fn with_small_machines() -> Fleet {
+    let mut fleet = Fleet::new();
+    let mut small = fleet.config.flavors["g4"].clone();
+    small.label = "s1".into();
+    (small.cpus, small.gpus) = (Amount(4.0), Amount(1.0));
+    small.memory_gb = Amount(8.0);
+    (small.price, small.spot_price) = (Amount(1.5), Amount(0.4));
+    fleet.config.flavors.insert("s1".into(), small);
+    fleet
+}
+
+fn hires(fleet: &mut Fleet, now: Moment) -> Vec<(String, bool, u32)> {
+    let hires = fleet.decide(now).into_iter().filter_map(|a| match a {
+        Action::Hire(kind, n) => Some((kind.flavor, kind.spot, n)),
+        _ => None,
+    });
+    let mut by_kind: BTreeMap<(String, bool), u32> = BTreeMap::new();
+    for (flavor, spot, n) in hires {
+        *by_kind.entry((flavor, spot)).or_default() += n;
+    }
+    let flat = by_kind.into_iter().map(|((f, s), n)| (f, s, n));
+    flat.collect()
+}
+
+#[test]
+fn small_work_gets_small_machines_while_large_work_needs_the_large_ones() {
+    let large = |count| Demand {
+        cpus: 16.0,
+        gpus: 4.0,
+        memory_gb: 64.0,
+        ..demand(count, Rank::Standard, true)
+    };
+    let small = |count| demand(count, Rank::Urgent, true);
+    let hire = |flavor: &str, n| (flavor.to_owned(), true, n);
+    // (large, small tasks; what is rented)
+    let cases = [
+        (0, 8, vec![hire("g4", 2)]),
+        (2, 0, vec![hire("g4", 2)]),
+        (2, 8, vec![hire("g4", 2), hire("s1", 8)]),
+    ];
+    for (n, m, expected) in cases {
+        let mut fleet = with_small_machines();
+        if n > 0 {
+            fleet.needs(B, large(n));
+        }
+        if m > 0 {
+            fleet.needs(A, small(m));
+        }
+        assert_eq!(hires(&mut fleet, at(0.0)), expected, "{n} {m}");
+    }
+    // Small tasks that hold a large machine get small ones once others wait for it.
+    for waits in [false, true] {
+        let mut fleet = with_small_machines();
+        fleet.needs(B, large(1));
+        fleet.decide(at(0.0));
+        let mut fleet = Fleet {
+            memory: fleet.memory,
+            ..with_small_machines()
+        };
+        fleet.machine(A, 0, 4.0, Rank::Urgent, -1.0);
+        let part = Arc::make_mut(fleet.parts.get_mut(&A).unwrap());
+        part.displaced.push(small(4));
+        if waits {
+            fleet.memory.refused(&kind("a", true), at(1.0));
+            fleet.memory.refused(&kind("b", true), at(1.0));
+            fleet.needs(B, large(1));
+        }
+        let hired = hires(&mut fleet, at(1.0));
+        let of_small = hired.iter().filter(|(f, ..)| f == "s1");
+        let n: u32 = of_small.map(|(.., n)| n).sum();
+        assert_eq!(n, if waits { 4 } else { 0 }, "{hired:?}");
+    }
+}
+
+#[test]
+fn short_tasks_queue_for_machines_that_are_up_before_others_would_be() {
+    // Two machines of four slots, full; a boot takes 30 s. (Seconds a task runs,
+    // waiting, machines rented)
+    let cases = [
+        (60.0, 8, 2),
+        (30.0, 8, 2),
+        (15.0, 8, 0),
+        (15.0, 16, 1),
+        (10.0, 16, 0),
+    ];
+    for (work_s, waiting, expected) in cases {
+        let mut fleet = Fleet::new();
+        for n in 0..2 {
+            fleet.machine(A, n, 4.0, Rank::Standard, -1.0);
+        }
+        let mut demand = demand(waiting, Rank::Standard, true);
+        demand.work_s = work_s;
+        fleet.needs(A, demand);
+        assert_eq!(fleet.hired(at(0.0)), expected, "{work_s} {waiting}");
+    }
+}
--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -538,3 +538,34 @@
         assert_eq!(waiting(&b), [0, 1], "{name}");
     }
 }
+
+#[test]
+fn nothing_is_launched_of_a_job_that_is_being_cancelled() {
+    // (told, when its machine reports, launches). The word holds launches back for
+    // a while and ends nothing: the cancellation may fail.
+    let cases = [
+        (false, 2.0, 1),
+        (true, 2.0, 0),
+        (true, 6.9, 0),
+        (true, 7.1, 1),
+    ];
+    for (told, s, expected) in cases {
+        for planned_before in [false, true] {
+            let mut b = Bench::new(&["a", "a"]);
+            b.submit(spec(1, 1), false);
+            if planned_before {
+                // Its task is already given to a machine that has yet to report.
+                let other = b.report(1, 1, vec![]);
+                b.ledger.report(&other, false, at(1.0), &b.config);
+                b.ledger.answer(&machine(0), true, at(1.0), &b.config);
+            }
+            if told {
+                b.ledger.cancelling(&spec(1, 1).id, at(7.0));
+            }
+            let report = b.report(1, 2, vec![]);
+            let orders = b.turn(&report, s);
+            assert_eq!(launches(&orders).len(), expected, "{told} at {s}");
+            assert!(b.ledger.jobs.contains_key(&spec(1, 1).id));
+        }
+    }
+}
--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -3,6 +3,9 @@
 mod common;
 
 use common::*;
+use pulleywood_core::types;
+use pulleywood_wire::cbor::Amount;
+use pulleywood_wire::record::JobRecord;
 use pulleywood_wire::settings::Objective;
 use pulleywood_wire::worker::{Cause, Order, TaskState};
 use pulleywood_wire::{JobSpec, Rank, Shape, Stamp};
@@ -467,3 +470,88 @@
     stopped.dedup();
     assert_eq!(stopped, vec![task(2, 0)]);
 }
+
+/// A second, smaller type; `m1` and up are of it.
+fn with_small_machines(zones: &[&str]) -> Bench {
+    let mut b = Bench::new(zones);
+    let mut small = b.config.flavors["g4"].clone();
+    small.label = "s1".into();
+    (small.cpus, small.gpus) = (Amount(4.0), Amount(1.0));
+    small.memory_gb = Amount(16.0);
+    b.config.flavors.insert("s1".into(), small);
+    for n in 1..zones.len() {
+        let m = b.ledger.machines.get_mut(&machine(n)).unwrap();
+        m.record.flavor = "s1".into();
+    }
+    b
+}
+
+#[test]
+fn small_tasks_leave_large_machines_to_tasks_that_fit_no_others() {
+    // A large machine, which alone fits large tasks, and two small ones. (Large work
+    // came lately, small tasks, where they go)
+    let cases = [
+        (false, 1, vec![1, 0, 0]),
+        (true, 1, vec![0, 1, 0]),
+        (true, 2, vec![0, 1, 1]),
+        (true, 4, vec![2, 1, 1]),
+    ];
+    for (large, tasks, expected) in cases {
+        let mut b = with_small_machines(&["a", "a", "a"]);
+        if large {
+            let one = JobSpec {
+                cpus: Amount(16.0),
+                ..spec(9, 1)
+            };
+            let types = types::of_job(&b.config, &one);
+            b.ledger.choices.note(types, at(0.0));
+        }
+        let small = JobSpec {
+            rank: Rank::Urgent,
+            image_gb: Amount(0.0),
+            ..spec(1, tasks)
+        };
+        b.submit(small, false);
+        let reports: Vec<_> = (0..3).map(|m| b.report(m, 1, vec![])).collect();
+        for report in &reports {
+            b.ledger.report(report, false, at(1.0), &b.config);
+        }
+        let started: Vec<usize> = (0..3)
+            .map(|m| launches(&b.ledger.answer(&machine(m), true, at(1.0), &b.config)).len())
+            .collect();
+        assert_eq!(started, expected, "{large} {tasks}");
+    }
+}
+
+#[test]
+fn what_others_need_is_stopped_for_small_tasks_only_after_some_reports() {
+    // A large task holds the large machine; an urgent small one finds no room. It
+    // stops the large one only when loans have had their time. (Its age, stopped)
+    for (s, stopped) in [(1.0, false), (2.0, false), (3.0, true)] {
+        let mut b = with_small_machines(&["a"]);
+        let large = JobSpec {
+            cpus: Amount(16.0),
+            ..spec(9, 1)
+        };
+        let types = types::of_job(&b.config, &large);
+        b.ledger.choices.note(types, at(0.0));
+        b.submit(large, false);
+        let first = b.report(0, 1, vec![]);
+        let (task, attempt) = launches(&b.turn(&first, 0.0)).remove(0);
+        let urgent = JobSpec {
+            rank: Rank::Urgent,
+            ..spec(1, 1)
+        };
+        let record = JobRecord {
+            at_ms: at(0.0).0,
+            ..job(urgent)
+        };
+        b.ledger
+            .put_job(&record, Stamp(3), false, at(0.0), &b.config);
+        let runs = state(&task, attempt, TaskState::Running);
+        let second = b.report(0, 2, vec![runs]);
+        let orders = b.turn(&second, s);
+        let halted = orders.iter().any(|o| matches!(o, Order::Halt { .. }));
+        assert_eq!(halted, stopped, "{s}");
+    }
+}
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -22,6 +22,8 @@
     Lend(PartId, PartId, Box<Demand>),
     /// Give up unused slots of these teams down to what is stated.
     Shrink(PartId, BTreeMap<String, Slots>),
+    /// Jobs that their users are cancelling: launch nothing of them for a while.
+    Cancelling(Vec<JobId>),
     /// Give some of the tokens for writes to the state service.
     Tokens,
 }
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -94,6 +94,7 @@
             bell: Condvar::new(),
             intake: Intake::default(),
             adoptions: Default::default(),
+            cancelling: Default::default(),
             reads: Reads::default(),
             pace: Pace::new(rps),
             digests_sent: AtomicU64::new(0),
@@ -119,10 +120,11 @@
         let serve_on = address(&shared.settings.serve_on)?;
         let serve_on = server::serve(serve_on, bounds.connections, Front(Arc::clone(&shared)))
             .map_err(io("serve_on"))?;
-        let threads: [(&str, Body); 9] = [
+        let threads: [(&str, Body); 10] = [
             ("follow", follow::run),
             ("read", follow::read_for_users),
             ("borrow", peers::borrow),
+            ("cancelling", peers::tell_cancelling),
             ("intake", intake::run),
             ("adopt", adopt::run),
             ("renew", lease::renew),
--- a/crates/pulleywood/src/desk.rs
+++ b/crates/pulleywood/src/desk.rs
@@ -21,6 +21,45 @@
     verdicts: BTreeMap<u64, V>,
 }
 
+/// Things that a thread is to take up, all that there are at a time.
+#[derive(Debug)]
+pub struct Pending<T> {
+    waiting: Mutex<Vec<T>>,
+    wake: Condvar,
+}
+
+impl<T> Default for Pending<T> {
+    fn default() -> Self {
+        Self {
+            waiting: Mutex::default(),
+            wake: Condvar::new(),
+        }
+    }
+}
+
+impl<T> Pending<T> {
+    /// Beyond so many nobody takes them up in time.
+    const MOST: usize = 256;
+
+    /// Leaves one, and waits for nothing.
+    pub fn leave(&self, thing: T) {
+        let mut waiting = self.waiting.lock();
+        if waiting.len() < Self::MOST {
+            waiting.push(thing);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Waits until there are some, and takes them.
+    pub fn wait_all(&self) -> Vec<T> {
+        let mut waiting = self.waiting.lock();
+        while waiting.is_empty() {
+            self.wake.wait(&mut waiting);
+        }
+        std::mem::take(&mut waiting)
+    }
+}
+
 /// How waiting ended.
 pub enum Joined<V> {
     /// With a verdict.
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::adopt::Adoptions;
 use crate::clock::Clock;
+use crate::desk::Pending;
 use crate::follow::Reads;
 use crate::intake::Intake;
 use parking_lot::{Condvar, Mutex};
@@ -51,6 +52,8 @@
     pub intake: Intake,
     /// Machines that wait to be adopted together.
     pub adoptions: Adoptions,
+    /// Jobs whose owners are to hear that they are being cancelled.
+    pub cancelling: Pending<JobId>,
     /// Users' questions that wait for a read.
     pub reads: Reads,
     /// Numbers digests.
@@ -72,6 +75,8 @@
 
 /// Former processes remembered, so that late copies of their digests are known.
 const FORMER: usize = 64;
+/// Nothing is launched on an older view.
+const LAUNCH_VIEW: Duration = Duration::from_secs(3);
 /// Digests of the parts held here are good for this long.
 const OWN_DIGESTS: Duration = Duration::from_millis(300);
 const MAX_FINALS: usize = 5000;
@@ -259,6 +264,13 @@
         now < self.lease_end() && self.may_answer(now)
     }
 
+    /// Work may be launched: the view is newer than a watch that brought nothing
+    /// makes it. One that is older, as when the state service refuses this
+    /// controller alone, may lack cancellations that users were told of.
+    pub fn may_launch(&self, now: Moment) -> bool {
+        self.may_act(now) && now.since(self.caught_up) < LAUNCH_VIEW
+    }
+
     /// Workers may be answered: a cancellation told elsewhere since the last
     /// contact is still obeyed in time, as they lapse within their lease.
     pub fn may_answer(&self, now: Moment) -> bool {
--- a/crates/pulleywood/src/node/tests.rs
+++ b/crates/pulleywood/src/node/tests.rs
@@ -332,3 +332,66 @@
     );
     assert!(node.lease_end() < last);
 }
+
+#[test]
+fn nothing_is_launched_on_an_old_view_though_the_lease_lasts() {
+    // The state service refuses this controller alone: it may not know of
+    // cancellations that others told their users. (Age of the view in ms, launches)
+    for (ms, launches) in [(0, true), (1500, true), (2900, true), (3000, false)] {
+        let mut node = node();
+        node.viewed = true;
+        node.lease.permit = Some(Permit(1));
+        node.lease.renewed = at(0);
+        node.caught_up = at(0);
+        let now = at(0) + Duration::from_millis(ms);
+        assert!(node.may_act(now), "{ms}");
+        assert_eq!(node.may_launch(now), launches, "{ms}");
+    }
+}
+
+#[test]
+fn answers_end_in_time_for_every_lease_and_cancellation() {
+    // (lease, cancel) in seconds, margins that do not fit included. The span is
+    // counted from the older of the last renewal and the last read, whichever that
+    // is; a worker lapses a lease after the report that was answered last.
+    let cases = [
+        (10.0, 40.0),
+        (16.0, 36.0),
+        (17.5, 47.5),
+        (26.5, 46.5),
+        (36.0, 66.0),
+        (36.0, 36.5),
+        (36.0, 36.0),
+        (36.0, 20.0),
+        (1.0, 3600.0),
+    ];
+    for (lease, cancel) in cases {
+        for (renewed, read) in [(100, 100), (100, 107), (107, 100)] {
+            let mut node = node();
+            let config = Arc::make_mut(&mut node.config);
+            config.lease = secs(lease);
+            config.cancel = secs(cancel);
+            node.viewed = true;
+            node.lease.permit = Some(Permit(1));
+            node.lease.renewed = at(renewed);
+            node.caught_up = at(read);
+            let contact = at(100);
+            let gone = contact + node.config.cancel;
+            let span = node.config.answer_span();
+            let name = format!("{lease} {cancel}, renewed {renewed}, read {read}");
+            assert!(!node.may_answer(contact + span), "{name}");
+            if span > Duration::ZERO {
+                let last = contact + span - Duration::from_millis(1);
+                assert!(node.may_answer(last), "{name}");
+                // Drift and the time that an answer takes are covered.
+                let lapsed = last + node.config.surely_lapsed();
+                assert!(lapsed < gone, "{name}");
+                // No more is given away than the margins.
+                let given = gone.since(last + node.config.lease).as_secs_f64();
+                assert!(given < 1.3 + 0.001 * cancel, "{name}: {given}");
+            } else {
+                assert!(cancel <= lease + 1.3, "{name}");
+            }
+        }
+    }
+}
--- a/crates/pulleywood/src/peers.rs
+++ b/crates/pulleywood/src/peers.rs
@@ -4,8 +4,9 @@
 use crate::coordinator;
 use crate::errands;
 use crate::node::Shared;
-use pulleywood_wire::MemberId;
 use pulleywood_wire::peer::{Ask, Reply};
+use pulleywood_wire::{JobId, MemberId};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,10 +81,54 @@
         Ask::Retire(machines) => taken(errands::let_go(shared, &machines, None).is_empty()),
         Ask::Lend(from, to, like) => taken(errands::lend(shared, from, to, &like)),
         Ask::Shrink(part, to) => taken(coordinator::shrink(shared, part, &to)),
+        Ask::Cancelling(jobs) => {
+            cancelling(shared, &jobs);
+            Reply::Ok
+        }
         Ask::Tokens => Reply::Tokens(shared.state.budget().lend_writes()),
     }
 }
 
+/// Holds launches of jobs back that are being cancelled, as long as this
+/// controller may launch without having heard more of them.
+pub fn cancelling(shared: &Shared, jobs: &[JobId]) {
+    let mut node = shared.node.lock();
+    let until = shared.clock.now() + shared.ttl(&node);
+    for owned in node.owned.values_mut() {
+        for id in jobs {
+            owned.ledger.cancelling(id, until);
+        }
+    }
+}
+
+/// Tells owners of jobs that are being cancelled, beside the transaction: their
+/// watch brings it some tenths of a second later, or not at all if the state
+/// service refuses them. Best effort; runs for the life of the process.
+pub fn tell_cancelling(shared: &Arc<Shared>) {
+    const TIME: Duration = Duration::from_millis(400);
+    const LATELY: Duration = Duration::from_secs(4);
+    loop {
+        let jobs = shared.cancelling.wait_all();
+        let owners: BTreeSet<MemberId> = {
+            let now = shared.clock.now();
+            let node = shared.node.lock();
+            let holders = node.view.parts.values().map(|(h, _)| h.member.clone());
+            let heard = |m: &MemberId| {
+                let digest = node.digests.get(m);
+                digest.is_some_and(|(_, at)| now.since(*at) < LATELY)
+            };
+            holders.filter(heard).collect()
+        };
+        for owner in owners {
+            if let Some(peer) = shared.peers.get(&owner)
+                && let Err(e) = peer.ask(&Ask::Cancelling(jobs.clone()), TIME)
+            {
+                log::debug!("{owner}: {e}");
+            }
+        }
+    }
+}
+
 fn taken(done: bool) -> Reply {
     if done { Reply::Ok } else { Reply::No }
 }
--- a/crates/pulleywood/src/users.rs
+++ b/crates/pulleywood/src/users.rs
@@ -6,6 +6,7 @@
 use crate::clock::time_of_day_ms;
 use crate::intake::{self, Verdict};
 use crate::node::{Shared, read};
+use crate::peers;
 use pulleywood_core::Config;
 use pulleywood_core::room::Room;
 use pulleywood_net::server::Response;
@@ -279,6 +280,8 @@
             Ok(stored) => return answer(shared, &id, &stored),
             Err(e) => return later(&e),
         }
+        peers::cancelling(shared, std::slice::from_ref(&id));
+        shared.cancelling.leave(id.clone());
         match withdraw(shared, id.part(parts), &id) {
             Ok(Some(over)) => {
                 log::debug!("cancelled {id}");
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -124,7 +124,7 @@
     let now = shared.clock.now();
     let mut node = shared.node.lock();
     let config = Arc::clone(&node.config);
-    let launch = node.may_act(now);
+    let launch = node.may_launch(now);
     let Some(owned) = node.owned.get_mut(&part) else {
         return Response::later(503, 1);
     };
