--- a/crates/pulleywood-wire/src/settings.rs
+++ b/crates/pulleywood-wire/src/settings.rs
@@ -225,6 +225,13 @@
     pub what: String,
 }
 
+/// Least time between a worker's lease and the end of a cancellation.
+const LEAST_ANSWER_S: f64 = 3.0;
+/// Least requests a second for each controller: its lease, its watch and fences.
+const LEAST_RPS: f64 = 4.0;
+/// Least writes a second: a part is taken with four.
+const LEAST_WRITE_RPS: f64 = 0.5;
+
 impl Settings {
     /// Checks what types alone cannot.
     pub fn check(&self) -> Result<(), Wrong> {
@@ -273,6 +280,28 @@
                 return wrong(path, "must be a positive number");
             }
         }
+        // Out of contact, workers are answered until a lease before a cancellation
+        // must be obeyed: with less than this between the two they would be refused
+        // whenever the state service is slow.
+        if c.workers.cancel_s < c.workers.lease_s + LEAST_ANSWER_S {
+            return wrong(
+                "cluster.workers.cancel_s",
+                "must exceed cluster.workers.lease_s by at least 3 s",
+            );
+        }
+        let controllers = (self.seeds.len() + 1) as f64;
+        if c.state.rps < LEAST_RPS * controllers {
+            return wrong(
+                "cluster.state.rps",
+                "too few for so many controllers: each needs 4 a second",
+            );
+        }
+        if c.state.write_rps < LEAST_WRITE_RPS * controllers {
+            return wrong(
+                "cluster.state.write_rps",
+                "too few for so many controllers: each needs one in two seconds",
+            );
+        }
         if !c.cloud.list_lag_s.is_finite() || c.cloud.list_lag_s < 0.0 {
             return wrong("cluster.cloud.list_lag_s", "must not be negative");
         }
--- a/crates/pulleywood/tests/settings.rs
+++ b/crates/pulleywood/tests/settings.rs
@@ -72,6 +72,17 @@
             "cluster.resources.max_threads",
         ),
         ("/cluster/cloud", json!({"rps": 2.0}), "list_lag_s"),
+        (
+            "/cluster/workers/cancel_s",
+            json!(12.0),
+            "cluster.workers.cancel_s",
+        ),
+        ("/cluster/state/rps", json!(3.5), "cluster.state.rps"),
+        (
+            "/cluster/state/write_rps",
+            json!(0.4),
+            "cluster.state.write_rps",
+        ),
     ];
     for (path, value, named) in cases {
         let mut settings = good();
