Place tasks where a launch can go out first: count the time to the next report

Reports come every 6 s at Tampere and launches go out in their answers: a task bound to a machine whose report is seconds away waits for it. Its cost now holds that time, as the source's pull would have it.

--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -729,7 +729,7 @@
         config: &Config,
     ) -> Vec<Order> {
         if launch {
-            self.replan(now, config);
+            self.replan(id, now, config);
         }
         let planned = if launch {
             self.plan.remove(id).unwrap_or_default()
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -60,6 +60,8 @@
     pinned: f64,
     /// Tasks expected to end here a second.
     ends: f64,
+    /// Seconds until its next report, in whose answer a launch would go out.
+    reports_in: f64,
     /// Tasks that one plan may still add.
     left: usize,
     /// What this plan adds.
@@ -131,7 +133,8 @@
         } else {
             1.0 - self.pinned
         };
-        self.delay(spec) + bias + scarce + 10.0 * spread + STRANDED_S * self.stranded(spec)
+        let wait = self.delay(spec) + self.reports_in;
+        wait + bias + scarce + 10.0 * spread + STRANDED_S * self.stranded(spec)
     }
 
     /// The share of this machine's GPUs that a task without one leaves without
@@ -204,12 +207,13 @@
 
 impl PartLedger {
     /// Makes the plan anew if it is out of date.
-    pub(crate) fn replan(&mut self, now: Moment, config: &Config) {
+    /// `reporter`: the machine whose report is being answered.
+    pub(crate) fn replan(&mut self, reporter: &MachineId, now: Moment, config: &Config) {
         if self.planned_at.is_some_and(|at| now.since(at) < PLAN_AGE) {
             return;
         }
         self.planned_at = Some(now);
-        let (plan, halts, looks) = self.make_plan(now, config);
+        let (plan, halts, looks) = self.make_plan(reporter, now, config);
         self.plan = plan;
         self.looks += looks;
         for (id, at, leeway) in halts {
@@ -221,13 +225,13 @@
     }
 
     /// What each machine is given when it reports, and which slots are to stop.
-    fn make_plan(&self, now: Moment, config: &Config) -> (Plan, Halts, u64) {
+    fn make_plan(&self, reporter: &MachineId, now: Moment, config: &Config) -> (Plan, Halts, u64) {
         let mut queues = self.queues(now, config);
         // Most reports of a quiet fleet find nothing that waits.
         if queues.is_empty() {
             return Default::default();
         }
-        let mut planner = Planner::new(self, now, config, &queues);
+        let mut planner = Planner::new(self, reporter, now, config, &queues);
         let mut unplaced: Vec<Turn<'_>> = Vec::new();
         while let Some(team) = planner.next_team(&queues) {
             let Some(queue) = queues.get_mut(team) else {
@@ -258,7 +262,7 @@
     }
 
     /// Machines that may be given tasks now.
-    fn sites(&self, now: Moment, config: &Config) -> Vec<Site<'_>> {
+    fn sites(&self, reporter: &MachineId, now: Moment, config: &Config) -> Vec<Site<'_>> {
         let fresh = config.report.mul_f64(3.0) + Duration::from_secs(1);
         let mut sites = Vec::with_capacity(self.machines.len());
         for (id, m) in &self.machines {
@@ -319,6 +323,12 @@
                 queued_gb,
                 pinned: pinned.share_of(&whole),
                 ends,
+                reports_in: match m.heard {
+                    Some(at) if id != reporter => {
+                        config.report.saturating_sub(now.since(at)).as_secs_f64()
+                    }
+                    _ => 0.0,
+                },
                 left: (MOST_TASKS as usize)
                     .saturating_sub(m.slots.len())
                     .min(MOST_LAUNCHES),
@@ -443,6 +453,7 @@
 impl<'a> Planner<'a> {
     fn new(
         ledger: &'a PartLedger,
+        reporter: &MachineId,
         now: Moment,
         config: &'a Config,
         queues: &BTreeMap<&str, Vec<Turn<'_>>>,
@@ -454,7 +465,7 @@
         };
         let waiting = queues.values().flatten();
         let smallest = waiting.fold(most, |a, t| a.least(&Room::of_task(&t.job.spec)));
-        let sites = ledger.sites(now, config);
+        let sites = ledger.sites(reporter, now, config);
         let mut lowest: Option<Rank> = None;
         let mut holders: Vec<&str> = Vec::new();
         for slot in sites.iter().flat_map(|s| s.slots) {
--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -9,6 +9,7 @@
 use pulleywood_wire::settings::Objective;
 use pulleywood_wire::worker::{Cause, Order, TaskState};
 use pulleywood_wire::{JobSpec, Rank, Shape, Stamp};
+use std::time::Duration;
 
 #[test]
 fn tasks_go_only_where_their_job_allows() {
@@ -555,3 +556,29 @@
         assert_eq!(halted, stopped, "{s}");
     }
 }
+
+#[test]
+fn a_task_goes_to_the_machine_that_can_begin_it_first() {
+    // Launches go out in answers to reports, which come every six seconds. m0
+    // reported when there was no work yet, m1 reports now. (GB of the image that m0
+    // alone has, where the task goes)
+    for (image_gb, expected) in [(0.0, 1), (2.0, 1), (8.0, 0)] {
+        let mut b = Bench::new(&["a", "a"]);
+        b.config.report = Duration::from_secs(6);
+        let m = b.ledger.machines.get_mut(&machine(0)).unwrap();
+        m.images.push_back(("img".into(), image_gb));
+        let first = b.report(0, 1, vec![]);
+        assert!(launches(&b.turn(&first, 0.0)).is_empty());
+        let one = JobSpec {
+            image_gb: Amount(image_gb),
+            ..spec(1, 1)
+        };
+        b.submit(one, false);
+        let other = b.report(1, 1, vec![]);
+        let now = launches(&b.turn(&other, 1.5)).len();
+        let next = b.report(0, 2, vec![]);
+        let later = launches(&b.turn(&next, 6.0)).len();
+        let to = if expected == 1 { (1, 0) } else { (0, 1) };
+        assert_eq!((now, later), to, "{image_gb}");
+    }
+}
