--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -514,3 +514,40 @@
         assert_eq!(fleet.hired(at(0.0)), expected, "{work_s} {waiting}");
     }
 }
+
+#[test]
+fn a_wide_array_gathers_room_of_all_parts_with_an_errand_each() {
+    // Seven parts with ten machines each, half of each of them in use. (Tasks in the
+    // first part, machines rented)
+    const PARTS: u32 = 7;
+    for (tasks, rented) in [(20, 0), (100, 0), (140, 0), (148, 2)] {
+        let mut fleet = Fleet::new();
+        for part in (0..PARTS).map(PartId) {
+            let digest = PartDigest {
+                part,
+                ..PartDigest::default()
+            };
+            fleet.parts.insert(part, Arc::new(digest));
+            for n in 0..10 {
+                let n = part.0 as usize * 10 + n;
+                fleet.machine(part, n, 2.0, Rank::Standard, -1.0);
+            }
+        }
+        fleet.needs(A, demand(tasks, Rank::Standard, true));
+        let actions = fleet.decide(at(0.0));
+        let (mut lent, mut errands, mut hired) = (0, 0, 0);
+        for action in &actions {
+            match action {
+                Action::Lend(A, _, like) => lent += like.count,
+                Action::Hire(_, n) => hired += n,
+                // What is beyond the need falls idle.
+                Action::Drain(..) => {}
+                other => panic!("{other:?}"),
+            }
+            errands += u32::from(matches!(action, Action::Lend(..)));
+        }
+        assert_eq!(lent, (tasks - 20).min(120), "{tasks}");
+        assert!(errands < PARTS, "{tasks}: {errands} errands");
+        assert_eq!(hired, rented, "{tasks}");
+    }
+}
--- a/crates/pulleywood-core/tests/grants.rs
+++ b/crates/pulleywood-core/tests/grants.rs
@@ -134,3 +134,54 @@
         assert!(begun >= most, "{begun} of {most} began, limit {limit}");
     }
 }
+
+#[test]
+fn limits_of_many_teams_over_many_parts_strand_nothing() {
+    // Each team's work waits in one of the parts alone, for its whole limit. Then
+    // all of it is granted there, in a number of steps that follows from the parts.
+    for (parts, teams) in [(7, 8), (7, 1), (3, 2), (1, 4)] {
+        let mut config = config();
+        config.teams = (0..teams)
+            .map(|n| {
+                let mut team = config.teams["red"].clone();
+                team.limit = slots(700.0, 0.0);
+                (format!("t{n}"), team)
+            })
+            .collect();
+        let record = first(&config, parts);
+        let mut records: BTreeMap<_, _> = (0..parts).map(|p| (PartId(p), record.clone())).collect();
+        let home = |n: u32| PartId(n % parts);
+        let mut needs: BTreeMap<PartId, BTreeMap<String, Need>> =
+            (0..parts).map(|p| (PartId(p), BTreeMap::new())).collect();
+        for n in 0..teams {
+            for (part, need) in &mut needs {
+                let wanted = if *part == home(n) { 700.0 } else { 0.0 };
+                let wants = Need {
+                    wanted: slots(wanted, 0.0),
+                    ..Need::default()
+                };
+                need.insert(format!("t{n}"), wants);
+            }
+        }
+        let mut steps = 0;
+        while let Some(step) = balance(&config, &records, &needs) {
+            steps += 1;
+            assert!(steps <= 3 * parts * teams, "{parts} {teams}");
+            match step {
+                Step::Grow(part, record) => drop(records.insert(part, record)),
+                Step::Shrink(part, to) => {
+                    let next = shrunk(&records[&part], &to, &BTreeMap::new());
+                    records.insert(part, next.unwrap());
+                }
+            }
+            for n in 0..teams {
+                let granted = records.values().map(|r| r.teams[&format!("t{n}")].cpus.0);
+                assert!(granted.sum::<f64>() <= 700.0 + 1e-6, "{parts} {teams}");
+            }
+        }
+        for n in 0..teams {
+            let granted = records[&home(n)].teams[&format!("t{n}")].cpus.0;
+            assert!(granted > 700.0 - 1e-6, "{parts} {teams}: {granted}");
+        }
+    }
+}
