--- /dev/null
+++ b/crates/pulleywood-core/src/fleet/give_back.rs
@@ -0,0 +1,91 @@
+//! Machines beyond need: emptied, and given back once they are idle.
+
+use super::bin::Bin;
+use super::{Action, Memory};
+use crate::config::Config;
+use pulleywood_wire::peer::MachineDigest;
+use pulleywood_wire::{MachineId, PartId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Machines beyond what the work needs are emptied, ordinary ones with the
+/// least bound work first: those that hold none of it.
+pub(super) fn drain(config: &Config, memory: &mut Memory, bins: &[Bin]) -> Vec<Action> {
+    let share = |b: &Bin| b.free.used_of(&b.whole).clamp(0.0, 1.0);
+    let load: f64 = bins.iter().map(share).sum();
+    let pinned: f64 = bins.iter().map(|b| b.pinned).sum();
+    let spot = bins.iter().filter(|b| b.kind.spot).count() as f64;
+    let grow = 1.0 + config.policy.cushion;
+    let needed = (pinned * grow).max(load * grow - spot).ceil() as usize;
+    let mut ordinary: Vec<&Bin> = bins
+        .iter()
+        .filter(|b| !b.kind.spot && b.machine.is_some())
+        .collect();
+    // Those that stay: most bound work first, then those not yet draining.
+    let draining = |b: &Bin| {
+        b.machine
+            .as_ref()
+            .is_some_and(|m| memory.draining.contains(m))
+    };
+    ordinary.sort_by(|a, b| {
+        b.pinned
+            .total_cmp(&a.pinned)
+            .then(draining(a).cmp(&draining(b)))
+            .then(share(b).total_cmp(&share(a)))
+    });
+    let mut by_part: BTreeMap<PartId, Vec<MachineId>> = BTreeMap::new();
+    let mut now_draining = BTreeSet::new();
+    for bin in ordinary.into_iter().skip(needed) {
+        let empty = bin.pinned < 1e-9 && bin.taken == 0;
+        if let (true, Some(machine), Some(part)) = (empty, bin.machine.clone(), bin.part) {
+            now_draining.insert(machine.clone());
+            by_part.entry(part).or_default().push(machine);
+        }
+    }
+    memory.draining = now_draining;
+    by_part
+        .into_iter()
+        .map(|(part, machines)| Action::Drain(part, machines))
+        .collect()
+}
+
+/// Idle machines beyond the cushion, and unfit ones, are given back.
+pub(super) fn retire(
+    config: &Config,
+    memory: &Memory,
+    bins: &[Bin],
+    digests: &BTreeMap<&MachineId, (&MachineDigest, PartId)>,
+) -> Vec<Action> {
+    let mut actions = Vec::new();
+    for (id, (digest, part)) in digests {
+        if digest.unfit && digest.idle_s >= 0.0 {
+            actions.push(Action::Retire((*id).clone(), *part));
+        }
+    }
+    for spot in [false, true] {
+        let in_use: f64 = bins
+            .iter()
+            .filter(|b| b.kind.spot == spot)
+            .map(|b| 1.0 - b.free.share_of(&b.whole))
+            .sum();
+        let mut idle: Vec<(f64, &MachineId, PartId)> = bins
+            .iter()
+            .filter(|b| b.kind.spot == spot && b.taken == 0)
+            .filter_map(|b| {
+                let id = b.machine.as_ref()?;
+                let (digest, part) = digests.get(id)?;
+                let wait = if memory.draining.contains(id) {
+                    config.policy.idle_s / 4.0
+                } else {
+                    config.policy.idle_s
+                };
+                (digest.idle_s >= wait).then_some((digest.idle_s, id, *part))
+            })
+            .collect();
+        idle.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let keep = (in_use * config.policy.cushion).floor() as usize;
+        for (_, id, part) in idle.into_iter().skip(keep) {
+            actions.push(Action::Retire(id.clone(), part));
+        }
+    }
+    actions
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/fleet/mod.rs
@@ -0,0 +1,77 @@
+//! The coordinator's fleet decisions: idle machines moved between parts,
+//! waiting tasks lent, machines rented and given back.
+//!
+//! One round packs all waiting demand into the machines that are up or on their
+//! way ([`round`]), rents for what is left ([`rent`]) and gives back what nothing
+//! needs ([`give_back`], [`release`]).
+
+mod bin;
+mod demand;
+mod give_back;
+mod memory;
+mod release;
+mod rent;
+mod round;
+mod summary;
+
+pub use memory::Memory;
+pub use round::decide;
+pub use summary::summary;
+
+use pulleywood_wire::cloud::Rental;
+use pulleywood_wire::peer::{Demand, PartDigest};
+use pulleywood_wire::record::MachineRecord;
+use pulleywood_wire::{MachineId, Moment, PartId};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// One kind of machine: type, zone, spot.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Kind {
+    /// Machine type.
+    pub flavor: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+}
+
+/// What the coordinator does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// An idle machine goes to another part.
+    Move(MachineId, PartId, PartId),
+    /// Waiting tasks of one shape are lent by one part to another.
+    Lend(PartId, PartId, Box<Demand>),
+    /// Machines of a part are emptied.
+    Drain(PartId, Vec<MachineId>),
+    /// A machine is given back once its part let it go.
+    Retire(MachineId, PartId),
+    /// Machines are rented; whichever part hears them first adopts them.
+    Hire(Kind, u32),
+    /// Machines are released that nobody commands, or that are surely dead.
+    Release(Vec<MachineId>, &'static str),
+}
+
+/// What the coordinator sees.
+#[derive(Debug)]
+pub struct Seen<'a> {
+    /// Time.
+    pub now: Moment,
+    /// All machines' records.
+    pub records: &'a BTreeMap<MachineId, MachineRecord>,
+    /// Fresh digests of owned parts.
+    pub parts: &'a BTreeMap<PartId, Arc<PartDigest>>,
+    /// The newest machine list, if one came lately.
+    pub list: Option<&'a [Rental]>,
+    /// There is more work than the digests show: no machine is emptied or
+    /// given back.
+    pub hold: bool,
+}
+
+/// A machine that takes more than this many usual boot times may never come
+/// up, and is counted on no more.
+const LATE_BOOT: f64 = 1.7;
+
+/// Most machines of one kind that one round rents.
+const MAX_HIRE: u32 = 200;
--- /dev/null
+++ b/crates/pulleywood-core/src/fleet/release.rs
@@ -0,0 +1,108 @@
+//! Machines that are released without their part: dead, lost or given back by it.
+
+use super::{Action, Memory, Seen};
+use crate::config::Config;
+use pulleywood_wire::MachineId;
+use pulleywood_wire::cloud::RentalStatus;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Machines whose workers have long not been in touch both ways: silent, or
+/// deaf to answers. The longest first, one in a hundred a lease: when many are
+/// so, it is a cut, which heals, and their room would be gone with them.
+fn out_of_touch(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<MachineId> {
+    let now = seen.now;
+    if memory
+        .replaced
+        .is_some_and(|at| now.since(at) < config.lease)
+    {
+        return Vec::new();
+    }
+    let long = (config.lease * 4)
+        .max(Duration::from_secs(60))
+        .as_secs_f64();
+    let mut lost: Vec<(f64, &MachineId)> = seen
+        .parts
+        .values()
+        .filter(|p| !p.rebuilding)
+        .flat_map(|p| &p.machines)
+        .filter(|m| m.lost_s > long && seen.records.contains_key(&m.machine))
+        .map(|m| (m.lost_s, &m.machine))
+        .collect();
+    lost.sort_by(|a, b| b.0.total_cmp(&a.0));
+    lost.truncate(seen.records.len() / 100 + 1);
+    if !lost.is_empty() {
+        memory.replaced = Some(now);
+    }
+    lost.into_iter().map(|(_, id)| id.clone()).collect()
+}
+
+/// Machines the list shows as failed, never up, or gone. One list alone, which
+/// may be stale, never decides over a machine that may still work.
+pub(super) fn release_dead(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
+    let now = seen.now;
+    let mut actions = Vec::new();
+    let mut release = |ids: Vec<MachineId>, why| {
+        if !ids.is_empty() {
+            actions.push(Action::Release(ids, why));
+        }
+    };
+    let retiring = seen
+        .records
+        .iter()
+        .filter(|(_, r)| r.retiring)
+        .map(|(id, _)| id.clone())
+        .collect();
+    release(retiring, "retired by its part");
+    release(out_of_touch(config, memory, seen), "out of touch");
+    let Some(list) = seen.list else {
+        return actions;
+    };
+    let silent: BTreeSet<&MachineId> = seen
+        .parts
+        .values()
+        .flat_map(|p| &p.machines)
+        .filter(|m| m.silent_s < 0.0 || m.silent_s > config.lease.as_secs_f64())
+        .map(|m| &m.machine)
+        .collect();
+    let mut failed = Vec::new();
+    let mut never_up = Vec::new();
+    for rental in list {
+        let boot = config
+            .flavors
+            .get(&rental.flavor)
+            .map_or(60.0, |f| f.boot_s.0);
+        match rental.status {
+            RentalStatus::Failed => failed.push(rental.machine.clone()),
+            RentalStatus::Starting
+                if rental.age_s.0 > boot * 4.0 + 30.0
+                    && (silent.contains(&rental.machine)
+                        || !seen.records.contains_key(&rental.machine)) =>
+            {
+                never_up.push(rental.machine.clone());
+            }
+            _ => {}
+        }
+    }
+    release(failed, "failed");
+    release(never_up, "never came up");
+    // Recorded machines that the lists have lacked for long, and that are
+    // silent: the cloud took them.
+    let listed: BTreeSet<&MachineId> = list.iter().map(|r| &r.machine).collect();
+    memory
+        .missed_since
+        .retain(|id, _| seen.records.contains_key(id) && !listed.contains(id));
+    let mut gone = Vec::new();
+    for id in seen.records.keys().filter(|id| !listed.contains(id)) {
+        let since = *memory.missed_since.entry(id.clone()).or_insert(now);
+        let known = memory
+            .first_seen
+            .get(id)
+            .is_some_and(|at| now.since(*at) > Duration::from_secs(30));
+        if known && silent.contains(id) && now.since(since) > Duration::from_secs(20) {
+            gone.push(id.clone());
+        }
+    }
+    release(gone, "no longer listed");
+    actions
+}
--- /dev/null
+++ b/crates/pulleywood-core/src/fleet/rent.rs
@@ -0,0 +1,60 @@
+//! Which kind of machine is rented.
+
+use super::demand::allows;
+use super::{Kind, MAX_HIRE, Memory};
+use crate::config::Config;
+use crate::room::Room;
+use crate::types::Types;
+use pulleywood_wire::Moment;
+use pulleywood_wire::cloud::Flavor;
+use pulleywood_wire::peer::Demand;
+use std::collections::BTreeMap;
+
+/// The kind that costs least for a demand and is not backed off.
+pub(super) fn cheapest<'a>(
+    config: &'a Config,
+    memory: &Memory,
+    demand: &Demand,
+    need: &Room,
+    avoid: &Types,
+    now: Moment,
+    hires: &BTreeMap<Kind, u32>,
+) -> Option<(Kind, &'a Flavor)> {
+    let mut best: Option<(f64, Kind, &Flavor)> = None;
+    for flavor in config.flavors.values() {
+        let whole = Room::of_flavor(flavor);
+        let tasks = whole.times(need).min(demand.count.max(1));
+        if tasks == 0 {
+            continue;
+        }
+        for zone in &flavor.zones {
+            for spot in [true, false] {
+                let kind = Kind {
+                    flavor: flavor.label.clone(),
+                    zone: zone.clone(),
+                    spot,
+                };
+                if !allows(demand, &kind) || !memory.open(&kind, now) {
+                    continue;
+                }
+                // A machine that it takes from those who can use no other type
+                // costs them the dearer kind.
+                let price = if spot && !avoid.contains(&flavor.label) {
+                    flavor.spot_price.0
+                } else {
+                    flavor.price.0
+                };
+                // Equal prices: the zone with fewer rentals of this round.
+                let planned = hires.get(&kind).copied().unwrap_or(0);
+                if planned >= MAX_HIRE {
+                    continue;
+                }
+                let cost = price / f64::from(tasks) * (1.0 + 0.001 * f64::from(planned));
+                if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
+                    best = Some((cost, kind, flavor));
+                }
+            }
+        }
+    }
+    best.map(|(_, kind, flavor)| (kind, flavor))
+}
