--- a/crates/pulleywood-core/src/fleet/summary.rs
+++ b/crates/pulleywood-core/src/fleet/summary.rs
@@ -1,65 +1,92 @@
 //! The state of the fleet as a line of text.
 
-use super::Seen;
+use super::{Kind, Seen};
 use crate::config::Config;
 use crate::room::Room;
 use pulleywood_wire::MachineId;
 use pulleywood_wire::job::Rank;
 use pulleywood_wire::peer::MachineDigest;
+use pulleywood_wire::record::MachineRecord;
 use std::collections::BTreeMap;
 
-/// The fleet in one line, for logs.
-pub fn summary(config: &Config, seen: &Seen<'_>) -> String {
-    let mut text = String::from("fleet");
+/// Machines of one kind, for logs. What they cost follows from it: a machine that
+/// is not up, idle or half empty costs as much as one in use.
+#[derive(Debug, Default, Clone, PartialEq)]
+struct Usage {
+    machines: u32,
+    /// Recorded, but no part has heard of it under its term yet.
+    not_up: u32,
+    idle: u32,
+    /// Whole machines that the tasks on them would fill.
+    in_use: f64,
+}
+
+impl Usage {
+    fn add(&mut self, whole: &Room, digest: Option<&MachineDigest>) {
+        self.machines += 1;
+        match digest.filter(|d| d.silent_s >= 0.0) {
+            None => self.not_up += 1,
+            Some(d) => {
+                let free = Room {
+                    cpus: d.cpus,
+                    gpus: d.gpus,
+                    memory_gb: d.memory_gb,
+                };
+                self.idle += u32::from(d.idle_s >= 0.0);
+                self.in_use += free.used_of(whole);
+            }
+        }
+    }
+}
+
+fn kind_of(record: &MachineRecord) -> Kind {
+    Kind {
+        flavor: record.flavor.clone(),
+        zone: record.zone.clone(),
+        spot: record.spot,
+    }
+}
+
+/// Recorded machines by kind.
+fn usage(config: &Config, seen: &Seen<'_>) -> BTreeMap<Kind, Usage> {
     let digests: BTreeMap<&MachineId, &MachineDigest> = seen
         .parts
         .values()
         .flat_map(|p| &p.machines)
         .map(|m| (&m.machine, m))
         .collect();
-    for spot in [false, true] {
-        let (mut all, mut booting, mut idle, mut busy) = (0, 0, 0, 0.0);
-        for (id, record) in seen.records.iter().filter(|(_, r)| r.spot == spot) {
-            all += 1;
-            let digest = digests.get(id);
-            let whole = config
-                .flavors
-                .get(&record.flavor)
-                .map(Room::of_flavor)
-                .unwrap_or_default();
-            match digest {
-                Some(d) if d.silent_s >= 0.0 => {
-                    idle += u32::from(d.idle_s >= 0.0);
-                    let free = Room {
-                        cpus: d.cpus,
-                        gpus: d.gpus,
-                        memory_gb: d.memory_gb,
-                    };
-                    busy += free.used_of(&whole);
-                }
-                _ => booting += 1,
-            }
-        }
-        let kind = if spot { "spot" } else { "ordinary" };
-        text += &format!(" {kind}: {all} machines, {booting} not up, {idle} idle, {busy:.1} busy;");
+    let mut usage: BTreeMap<Kind, Usage> = BTreeMap::new();
+    for (id, record) in seen.records {
+        let flavor = config.flavors.get(&record.flavor);
+        let whole = flavor.map(Room::of_flavor).unwrap_or_default();
+        let of_kind = usage.entry(kind_of(record)).or_default();
+        of_kind.add(&whole, digests.get(id).copied());
+    }
+    usage
+}
+
+/// The fleet in one line, for logs.
+pub fn summary(config: &Config, seen: &Seen<'_>) -> String {
+    let mut text = String::from("fleet");
+    for (kind, u) in usage(config, seen) {
+        let market = if kind.spot { "spot" } else { "ordinary" };
+        text += &format!(
+            " {} {} {market}: {} machines, {} not up, {} idle, {:.1} in use;",
+            kind.flavor, kind.zone, u.machines, u.not_up, u.idle, u.in_use
+        );
     }
     for part in seen.parts.values() {
-        let free: f64 = part.machines.iter().map(|m| m.gpus).sum();
         let waiting: u32 = part.demand.iter().map(|d| d.count).sum();
+        let machines = part.machines.len();
         text += &format!(
-            " part {}: {} machines, {free} GPUs free, {waiting} waiting;",
-            part.part,
-            part.machines.len()
+            " part {}: {machines} machines, {waiting} waiting;",
+            part.part
         );
     }
     for rank in [Rank::Production, Rank::Urgent, Rank::Standard, Rank::Idle] {
-        let waiting: u32 = seen
-            .parts
-            .values()
-            .flat_map(|p| &p.demand)
-            .filter(|d| d.rank == rank)
-            .map(|d| d.count)
-            .sum();
+        let demand = seen.parts.values().flat_map(|p| &p.demand);
+        let alike = demand.filter(|d| d.rank == rank);
+        let waiting: u32 = alike.map(|d| d.count).sum();
         if waiting > 0 {
             text += &format!(" {rank:?} waiting: {waiting};");
         }
