Stop no more of a team's work than lies beyond its guarantee

Seven parts each saw the same excess. And urgent work beyond a guarantee stopped work within one, which stopped it in turn. Change: a part stops at most its share of a team's excess; work beyond a guarantee stops another team's work by rank only as far as that is beyond its own. Excluded: processor, take-overs, size of tasks (all sorting tasks take 32 CPUs).

--- /dev/null
+++ b/crates/pulleywood-core/src/excess.rs
@@ -0,0 +1,98 @@
+//! What teams use beyond their guarantees, of which work may be stopped so that
+//! another team gets its own.
+//!
+//! Parts decide alone what they stop, and each sees the same excess. If each stopped
+//! all of it, or more, the team would fall below its guarantee: its tasks would come
+//! first again, take the room that was made, and be stopped once more. So a part stops
+//! no more than its share of the excess, by what it runs of the team.
+
+use crate::config::{Config, Team};
+use crate::ledger::PartLedger;
+use crate::room::{Room, add};
+use pulleywood_wire::JobSpec;
+use pulleywood_wire::record::Slots;
+use std::collections::BTreeMap;
+
+/// Amounts are compared with this tolerance, since they are summed as floats.
+const TOLERANCE: f64 = 1e-6;
+
+/// What a part may still stop of each team that runs something in it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Excess<'a> {
+    by_team: BTreeMap<&'a str, TeamExcess>,
+}
+
+/// One team's; nothing in an amount that it has no guarantee in.
+#[derive(Debug, Clone, Copy)]
+struct TeamExcess {
+    cpus: Option<f64>,
+    gpus: Option<f64>,
+}
+
+impl TeamExcess {
+    /// `here`: what the team runs in the part, `everywhere`: in all parts.
+    fn new(team: &Team, here: Slots, everywhere: Slots) -> Self {
+        let share = |here: f64, all: f64, guaranteed: f64| {
+            let beyond = (all - guaranteed).max(0.0);
+            (guaranteed > 0.0).then(|| if all > 0.0 { beyond * here / all } else { 0.0 })
+        };
+        let guarantee = team.guarantee;
+        TeamExcess {
+            cpus: share(here.cpus.0, everywhere.cpus.0, guarantee.cpus.0),
+            gpus: share(here.gpus.0, everywhere.gpus.0, guarantee.gpus.0),
+        }
+    }
+
+    /// Takes a task's amounts out; whether all of it was beyond the guarantee. What
+    /// takes nothing that the team is guaranteed always is.
+    fn take(&mut self, task: Slots) -> bool {
+        let amounts = [(self.cpus, task.cpus.0), (self.gpus, task.gpus.0)];
+        let mut counted = amounts
+            .iter()
+            .filter_map(|(left, task)| left.map(|left| (left, *task)))
+            .filter(|(_, task)| *task > 0.0)
+            .peekable();
+        let beyond =
+            counted.peek().is_none() || counted.any(|(left, task)| task <= left + TOLERANCE);
+        if beyond {
+            self.cpus = self.cpus.map(|left| left - task.cpus.0);
+            self.gpus = self.gpus.map(|left| left - task.gpus.0);
+        }
+        beyond
+    }
+}
+
+impl<'a> Excess<'a> {
+    /// What lies beyond guarantees in a part. Tasks that were told to stop are not
+    /// counted: their room is on its way to others.
+    pub(crate) fn of(ledger: &'a PartLedger, config: &Config) -> Self {
+        let mut here: BTreeMap<&str, Slots> = BTreeMap::new();
+        for slot in ledger.machines.values().flat_map(|m| &m.slots) {
+            if let Some(spec) = &slot.spec
+                && slot.holds_room()
+                && slot.halt.is_none()
+            {
+                let sum = here.entry(spec.team.as_str()).or_default();
+                add(sum, Room::of_task(spec).slots());
+            }
+        }
+        let by_team = here.into_iter().filter_map(|(name, here)| {
+            let team = config.teams.get(name)?;
+            let mut everywhere = here;
+            if let Some(elsewhere) = ledger.elsewhere.get(name) {
+                add(&mut everywhere, *elsewhere);
+            }
+            Some((name, TeamExcess::new(team, here, everywhere)))
+        });
+        Excess {
+            by_team: by_team.collect(),
+        }
+    }
+
+    /// Takes a task that is to be stopped out of its team's excess; false if it lies
+    /// within the team's guarantee.
+    pub(crate) fn take(&mut self, spec: &JobSpec) -> bool {
+        let team = self.by_team.get_mut(spec.team.as_str());
+        team.is_some_and(|team| team.take(Room::of_task(spec).slots()))
+    }
+}
--- a/crates/pulleywood-core/src/lib.rs
+++ b/crates/pulleywood-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod digest;
 pub mod done;
+mod excess;
 pub mod fleet;
 pub mod grants;
 pub mod health;
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -6,6 +6,7 @@
 //! within a guarantee.
 
 use crate::config::Config;
+use crate::excess::Excess;
 use crate::ledger::{Job, PartLedger};
 use crate::machine::{Slot, SlotState};
 use crate::room::{MOST_TASKS, Room, add, within};
@@ -344,7 +345,7 @@
         let mut queues: BTreeMap<&str, Vec<Turn<'_>>> = BTreeMap::new();
         let rebuilding = self.rebuilding();
         for (id, job) in &self.jobs {
-            let unseen = rebuilding && self.may_run_unseen(job);
+            let unseen = rebuilding && self.may_run_unseen(job, config);
             let held = job.health.is_held(now) || now < job.cancelling_until;
             if job.waiting.is_empty() || held || unseen {
                 continue;
@@ -441,6 +442,8 @@
     /// Lowest rank that holds room, and teams that do.
     lowest: Option<Rank>,
     holders: Vec<&'a str>,
+    /// What may be stopped of teams' work beyond their guarantees.
+    excess: Excess<'a>,
     ahead: u32,
     /// A machine's room was kept for a job that fits nowhere.
     kept: bool,
@@ -496,6 +499,7 @@
             used: ledger.used(config),
             lowest,
             holders,
+            excess: Excess::of(ledger, config),
             ahead: 0,
             kept: false,
             shared: Vec::new(),
@@ -590,8 +594,8 @@
             return;
         }
         self.shared.push(&spec.team);
-        let beyond = self.beyond(spec, &self.used);
-        if self.may_stop(spec, &beyond) {
+        let claim = self.claim(spec, &self.used);
+        if self.may_stop(spec, &claim) {
             return;
         }
         let load = |team: &str| self.load(team, self.ledger.everywhere(team, &self.used));
@@ -798,25 +802,27 @@
     }
 
     /// Whether anything at all may be stopped for a task.
-    fn may_stop(&self, spec: &JobSpec, beyond: &BTreeSet<&str>) -> bool {
+    fn may_stop(&self, spec: &JobSpec, claim: &Claim<'_>) -> bool {
         self.lowest.is_some_and(|rank| rank < spec.rank)
-            || self.holders.iter().any(|team| beyond.contains(team))
+            || self.holders.iter().any(|team| claim.beyond.contains(team))
     }
 
-    /// Teams that use more than their guarantee, other than this one: work of
-    /// theirs yields to what is within a guarantee.
-    fn beyond(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>) -> BTreeSet<&'a str> {
+    /// What a job's next task may have stopped for it.
+    fn claim(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>) -> Claim<'a> {
         let mut mine = self.ledger.everywhere(&spec.team, used);
         add(&mut mine, Room::of_task(spec).slots());
         let teams = &self.config.teams;
         if !teams.get(&spec.team).is_some_and(|t| t.guarantees(mine)) {
-            return BTreeSet::new();
+            return Claim::default();
         }
         let others = teams.iter().filter(|(name, _)| **name != spec.team);
-        others
+        let beyond = others
             .filter(|(name, t)| !t.guarantees(self.ledger.everywhere(name, used)))
-            .map(|(name, _)| name.as_str())
-            .collect()
+            .map(|(name, _)| name.as_str());
+        Claim {
+            guaranteed: true,
+            beyond: beyond.collect(),
+        }
     }
 
     /// Stops what must yield to a job that found no room, cheapest first.
@@ -836,14 +842,14 @@
             }
         }
         let mut used = self.used.clone();
-        let mut beyond = self.beyond(spec, &used);
-        let stops = self.may_stop(spec, &beyond);
+        let mut claim = self.claim(spec, &used);
+        let stops = self.may_stop(spec, &claim);
         let avoid = self.left_to_others(spec);
         // What yields on a machine that others alone can use is worth waiting some
         // reports for: room of other types is lent, or on its way.
         let age = self.now.since(self.ledger.submitted(job));
         let early = age < self.config.report.mul_f64(LENT_REPORTS);
-        let offer = |planner: &Self, at: usize, beyond: &BTreeSet<&str>| {
+        let offer = |planner: &Self, at: usize, claim: &Claim<'_>| {
             let site = &planner.sites[at];
             planner.looks.set(planner.looks.get() + 1);
             let stops = stops && !(early && avoid.contains(site.flavor));
@@ -851,7 +857,7 @@
                 && !job.health.avoids(site.id, planner.now)
                 && site.whole.fits(&need);
             let (loss, victims) = fits
-                .then(|| planner.victims(site, spec, &need, beyond, stops))
+                .then(|| planner.victims(site, spec, &need, claim, stops))
                 .flatten()?;
             let scarce = if avoid.contains(site.flavor) {
                 SCARCE_S
@@ -860,8 +866,8 @@
             };
             Some((loss + scarce + site.delay(spec), at, victims))
         };
-        let all = |planner: &Self, beyond: &BTreeSet<&str>| -> Vec<Offer> {
-            let offer = |at| offer(planner, at, beyond);
+        let all = |planner: &Self, claim: &Claim<'_>| -> Vec<Offer> {
+            let offer = |at| offer(planner, at, claim);
             match stops {
                 true => (0..planner.sites.len()).filter_map(offer).collect(),
                 // Only what is free or comes free anyway.
@@ -872,23 +878,32 @@
                 }
             }
         };
-        let mut offers = all(self, &beyond);
+        let mut offers = all(self, &claim);
         for index in job.waiting.iter().filter(|i| !planned.contains(i)) {
             if offers.is_empty() || !self.granted(spec, &used) {
                 return;
             }
-            let best = offers
-                .iter()
-                .enumerate()
-                .filter(|(_, (_, at, _))| zone_allows(job, &zones, index, self.sites[*at].zone))
-                .min_by(|(_, a), (_, b)| a.0.total_cmp(&b.0));
-            let Some((nth, _)) = best else {
+            let chosen = loop {
+                let best = offers
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, (_, at, _))| zone_allows(job, &zones, index, self.sites[*at].zone))
+                    .min_by(|(_, a), (_, b)| a.0.total_cmp(&b.0));
+                let Some((nth, _)) = best else { break None };
+                let (_, at, victims) = offers.swap_remove(nth);
+                if self.take_excess(at, spec, &claim, &victims) {
+                    break Some((at, victims));
+                }
+                // Less of it may be stopped since that offer was made.
+                let again = offer(self, at, &claim);
+                offers.extend(again.filter(|(.., other)| *other != victims));
+            };
+            let Some((at, victims)) = chosen else {
                 if job.bound.is_empty() {
                     return;
                 }
                 continue;
             };
-            let (_, at, victims) = offers.swap_remove(nth);
             let site = &mut self.sites[at];
             let whole = spec.shape != Shape::Gang;
             if victims.is_empty() && whole && site.free.fits(&need) {
@@ -912,16 +927,36 @@
             }
             *zones.entry(site.zone.to_owned()).or_insert(0) += 1;
             add_to(&mut used, &spec.team, need.slots());
-            let now_beyond = self.beyond(spec, &used);
-            if now_beyond != beyond {
-                beyond = now_beyond;
-                offers = all(self, &beyond);
+            let now_claim = self.claim(spec, &used);
+            if now_claim != claim {
+                claim = now_claim;
+                offers = all(self, &claim);
             } else {
-                offers.extend(offer(self, at, &beyond));
+                offers.extend(offer(self, at, &claim));
             }
         }
     }
 
+    /// Takes what is to be stopped for a task out of its teams' excess; false, and
+    /// nothing is taken, if there is not as much of it left.
+    fn take_excess(
+        &mut self,
+        at: usize,
+        spec: &JobSpec,
+        claim: &Claim<'_>,
+        victims: &[usize],
+    ) -> bool {
+        let slots = self.sites[at].slots;
+        let stopped = victims.iter().filter_map(|v| slots[*v].spec.as_ref());
+        let mut excess = self.excess.clone();
+        let mut owed = stopped.filter(|victim| claim.on(spec, victim) == Yields::IfExcess);
+        let enough = owed.all(|victim| excess.take(victim));
+        if enough {
+            self.excess = excess;
+        }
+        enough
+    }
+
     /// The cheapest tasks to stop on one machine, and what is lost by it;
     /// nothing if stopping all that may be stopped would not do.
     fn victims(
@@ -929,7 +964,7 @@
         site: &Site<'_>,
         spec: &JobSpec,
         need: &Room,
-        beyond: &BTreeSet<&str>,
+        claim: &Claim<'_>,
         stops: bool,
     ) -> Option<(f64, Vec<usize>)> {
         let mut room = site.room_for(spec);
@@ -945,12 +980,17 @@
             let Some(victim) = slot.spec.as_ref().filter(|_| slot.holds_room()) else {
                 continue;
             };
-            let yields = victim.rank < spec.rank || beyond.contains(&*victim.team);
+            let yields = claim.on(spec, victim) != Yields::Never;
             if yields && slot.halt.is_none() && !site.halts.iter().any(|(h, _)| *h == at) {
                 candidates.push((loss(slot, self.now), at));
             }
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut excess = self.excess.clone();
+        candidates.retain(|(_, at)| match &site.slots[*at].spec {
+            Some(victim) => claim.on(spec, victim) == Yields::Always || excess.take(victim),
+            None => false,
+        });
         let room_of = |at: usize| site.slots[at].spec.as_deref().map(Room::of_task);
         let mut victims: Vec<(f64, usize)> = Vec::new();
         for (loss, at) in candidates {
@@ -978,6 +1018,41 @@
     }
 }
 
+/// Whether a task yields to another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Yields {
+    Never,
+    Always,
+    /// As long as its team uses more than its guarantee.
+    IfExcess,
+}
+
+/// What may be stopped for a task.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Claim<'a> {
+    /// It lies within its team's guarantee.
+    guaranteed: bool,
+    /// If so, the other teams that use more than theirs.
+    beyond: BTreeSet<&'a str>,
+}
+
+impl Claim<'_> {
+    /// Work within a guarantee comes before all that is not, whatever the rank. If
+    /// higher ranks beyond their guarantee stopped it, it would stop them in turn,
+    /// and neither would get anything done.
+    fn on(&self, spec: &JobSpec, victim: &JobSpec) -> Yields {
+        let other_team = victim.team != spec.team;
+        if victim.rank < spec.rank && (self.guaranteed || !other_team) {
+            return Yields::Always;
+        }
+        let owed = other_team && self.beyond.contains(victim.team.as_str());
+        match victim.rank < spec.rank || owed {
+            true => Yields::IfExcess,
+            false => Yields::Never,
+        }
+    }
+}
+
 /// What a task costs at a site, and the slots to stop there for it.
 type Offer = (f64, usize, Vec<usize>);
 
--- a/crates/pulleywood-core/tests/place.rs
+++ b/crates/pulleywood-core/tests/place.rs
@@ -8,7 +8,8 @@
 use pulleywood_wire::record::JobRecord;
 use pulleywood_wire::settings::Objective;
 use pulleywood_wire::worker::{Cause, Order, TaskState};
-use pulleywood_wire::{JobSpec, Rank, Shape, Stamp};
+use pulleywood_wire::{Attempt, JobId, JobSpec, Rank, Shape, Stamp, TaskId};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 #[test]
@@ -179,6 +180,63 @@
     }
 }
 
+#[test]
+fn no_more_is_stopped_of_a_team_than_lies_beyond_its_guarantee() {
+    // (the team's guarantee, what it uses in other parts, stopped for another team)
+    // Once all of it was stopped here, the team was within its guarantee: its tasks
+    // came first again, took the room that was made for others, and were stopped
+    // twice a second for half a minute.
+    let cases = [
+        (0.0, 0.0, 4),
+        (2.0, 0.0, 2),
+        (3.5, 0.0, 0),
+        (4.0, 0.0, 0),
+        // Other parts see the same excess: this one stops its share.
+        (5.0, 4.0, 1),
+        (7.0, 4.0, 0),
+    ];
+    for (guarantee, elsewhere, expected) in cases {
+        let mut b = Bench::new(&["a"]);
+        b.config.teams.get_mut("red").unwrap().guarantee = slots(0.0, guarantee);
+        b.config.teams.get_mut("blue").unwrap().guarantee = slots(0.0, 4.0);
+        let others = slots(0.0, elsewhere);
+        b.ledger.elsewhere.insert("red".into(), others);
+        let mut first = spec(1, 4);
+        first.rank = Rank::Urgent;
+        b.submit(first, false);
+        let report = b.report(0, 1, vec![]);
+        let mut on: Vec<(TaskId, Attempt)> = launches(&b.turn(&report, 1.0));
+        assert_eq!(on.len(), 4);
+        let mut second = spec(2, 4);
+        second.team = "blue".into();
+        b.submit(second, false);
+        let mut halted = BTreeSet::new();
+        let mut begun: Vec<TaskId> = Vec::new();
+        for seq in 2..12 {
+            let tasks = on.iter().map(|(t, a)| match halted.contains(t) {
+                true => exited(t, *a, Cause::Stopped),
+                false => state(t, *a, TaskState::Running),
+            });
+            let report = b.report(0, seq, tasks.collect());
+            let orders = b.turn(&report, seq as f64);
+            on.retain(|(t, _)| !halted.contains(t));
+            for order in &orders {
+                if let Order::Halt { leg, .. } = order {
+                    halted.insert(leg.clone());
+                }
+            }
+            let new = launches(&orders);
+            begun.extend(new.iter().map(|(t, _)| t.clone()));
+            on.extend(new);
+        }
+        let case = format!("guarantee {guarantee}, elsewhere {elsewhere}");
+        assert_eq!(halted.len(), expected, "{case}");
+        let blue = JobId::parse("j-2").unwrap();
+        assert!(begun.iter().all(|t| t.job == blue), "{case}: {begun:?}");
+        assert_eq!(begun.len(), expected, "{case}: {begun:?}");
+    }
+}
+
 #[test]
 fn a_gang_is_launched_whole_or_not_at_all() {
     for (tasks, expected) in [(4, 4), (5, 0)] {
