Empty ordinary machines by type; keep no cushion of them for spot work

Cause: idle machines of a small type counted as room for work that fits a large one alone, so ordinary large machines were emptied (up to 16 of 63 idle) while up to 200 sorting tasks waited for them. And a tenth of the ordinary machines in use was kept idle for work that may use spot ones, at four times the price.

--- a/crates/pulleywood-core/src/fleet/give_back.rs
+++ b/crates/pulleywood-core/src/fleet/give_back.rs
@@ -8,16 +8,42 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Machines beyond what the work needs are emptied, ordinary ones with the
-/// least bound work first: those that hold none of it.
+/// least bound work first: those that hold none of it. Each type by itself: idle
+/// machines of one type are no room for work that fits another alone.
 pub(super) fn drain(config: &Config, memory: &mut Memory, bins: &[Bin]) -> Vec<Action> {
+    let mut by_type: BTreeMap<&str, Vec<&Bin>> = BTreeMap::new();
+    for bin in bins {
+        by_type.entry(&bin.kind.flavor).or_default().push(bin);
+    }
+    let mut by_part: BTreeMap<PartId, Vec<MachineId>> = BTreeMap::new();
+    let mut draining = BTreeSet::new();
+    for bins in by_type.into_values() {
+        for bin in beyond_need(config, memory, &bins) {
+            let empty = bin.pinned < 1e-9 && bin.taken == 0;
+            if let (true, Some(machine), Some(part)) = (empty, bin.machine.clone(), bin.part) {
+                draining.insert(machine.clone());
+                by_part.entry(part).or_default().push(machine);
+            }
+        }
+    }
+    memory.draining = draining;
+    by_part
+        .into_iter()
+        .map(|(part, machines)| Action::Drain(part, machines))
+        .collect()
+}
+
+/// Ordinary machines of one type beyond what the work on that type needs.
+fn beyond_need<'b>(config: &Config, memory: &Memory, bins: &[&'b Bin]) -> Vec<&'b Bin> {
     let share = |b: &Bin| b.free.used_of(&b.whole).clamp(0.0, 1.0);
-    let load: f64 = bins.iter().map(share).sum();
+    let load: f64 = bins.iter().map(|b| share(b)).sum();
     let pinned: f64 = bins.iter().map(|b| b.pinned).sum();
     let spot = bins.iter().filter(|b| b.kind.spot).count() as f64;
     let grow = 1.0 + config.policy.cushion;
     let needed = (pinned * grow).max(load * grow - spot).ceil() as usize;
     let mut ordinary: Vec<&Bin> = bins
         .iter()
+        .copied()
         .filter(|b| !b.kind.spot && b.machine.is_some())
         .collect();
     // Those that stay: most bound work first, then those not yet draining.
@@ -32,20 +58,7 @@
             .then(draining(a).cmp(&draining(b)))
             .then(share(b).total_cmp(&share(a)))
     });
-    let mut by_part: BTreeMap<PartId, Vec<MachineId>> = BTreeMap::new();
-    let mut now_draining = BTreeSet::new();
-    for bin in ordinary.into_iter().skip(needed) {
-        let empty = bin.pinned < 1e-9 && bin.taken == 0;
-        if let (true, Some(machine), Some(part)) = (empty, bin.machine.clone(), bin.part) {
-            now_draining.insert(machine.clone());
-            by_part.entry(part).or_default().push(machine);
-        }
-    }
-    memory.draining = now_draining;
-    by_part
-        .into_iter()
-        .map(|(part, machines)| Action::Drain(part, machines))
-        .collect()
+    ordinary.into_iter().skip(needed).collect()
 }
 
 /// Idle machines beyond the cushion, and unfit ones, are given back.
@@ -62,10 +75,14 @@
         }
     }
     for spot in [false, true] {
+        // Of ordinary machines, a cushion for work that can use no others.
         let in_use: f64 = bins
             .iter()
             .filter(|b| b.kind.spot == spot)
-            .map(|b| 1.0 - b.free.share_of(&b.whole))
+            .map(|b| match spot {
+                true => 1.0 - b.free.share_of(&b.whole),
+                false => b.pinned,
+            })
             .sum();
         let mut idle: Vec<(f64, &MachineId, PartId)> = bins
             .iter()
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -308,6 +308,51 @@
     }
 }
 
+#[test]
+fn idle_spot_machines_empty_ordinary_ones_of_their_own_type_only() {
+    // Two ordinary machines in use, four idle spot ones. Those of a small type, which
+    // the work does not fit, once had the large ones emptied while more of it waited.
+    for (flavor, emptied) in [("g4", 2), ("s1", 0)] {
+        let mut fleet = with_small_machines();
+        for n in 0..2 {
+            fleet.machine(A, n, 4.0, Rank::Standard, -1.0);
+        }
+        for n in 2..6 {
+            fleet.machine(A, n, 0.0, Rank::Standard, 1.0);
+            let record = fleet.records.get_mut(&machine(n)).unwrap();
+            record.flavor = flavor.into();
+            record.spot = true;
+        }
+        let actions = fleet.decide(at(0.0));
+        let drained = actions.iter().map(|a| match a {
+            Action::Drain(_, machines) => machines.len(),
+            _ => 0,
+        });
+        assert_eq!(drained.sum::<usize>(), emptied, "{flavor}: {actions:?}");
+    }
+}
+
+#[test]
+fn a_cushion_of_ordinary_machines_is_kept_for_bound_work_alone() {
+    // Ten ordinary machines in use and two idle ones, at a cushion of a tenth.
+    for (pinned, returned) in [(1.0, 1), (0.0, 2)] {
+        let mut fleet = Fleet::new();
+        for n in 0..10 {
+            fleet.machine(A, n, 4.0, Rank::Standard, -1.0);
+        }
+        for n in 10..12 {
+            fleet.machine(A, n, 0.0, Rank::Standard, 500.0);
+        }
+        let part = Arc::make_mut(fleet.parts.get_mut(&A).unwrap());
+        for digest in part.machines.iter_mut().take(10) {
+            digest.pinned = pinned;
+        }
+        let actions = fleet.decide(at(0.0));
+        let given_back = actions.iter().filter(|a| matches!(a, Action::Retire(..)));
+        assert_eq!(given_back.count(), returned, "{pinned}: {actions:?}");
+    }
+}
+
 #[test]
 fn nothing_is_given_back_while_users_wait_to_submit() {
     // At an opening, machines idled while users were refused for want of
