Give up the few machines that hold up a part after a take-over

Change: machines not heard by their part's new owner within a report interval and an answer's time are released, whose confirmation is the proof; only if no more than an eighth of the fleet is out of reach, jobs wait, and the lease that is saved is longer than half a boot. A job waits only for machines of types that its tasks fit. Rules: as before, nothing of an older job is launched before each machine that may hold it has reported, was released, or has surely lapsed.

--- a/crates/pulleywood-core/src/digest.rs
+++ b/crates/pulleywood-core/src/digest.rs
@@ -202,6 +202,7 @@
                     },
                     silent_s: m.answered.map_or(-1.0, |at| now.since(at).as_secs_f64()),
                     lost_s: now.since(m.lost_since).as_secs_f64(),
+                    unheard: m.unheard,
                     unfit: m.unfit || m.taken_at.is_some(),
                     pinned: m.pinned().share_of(&whole),
                     held: m.held(),
--- a/crates/pulleywood-core/src/fleet/release.rs
+++ b/crates/pulleywood-core/src/fleet/release.rs
@@ -37,6 +37,44 @@
     lost.into_iter().map(|(_, id)| id.clone()).collect()
 }
 
+/// A worker that its part's new owner has not heard for this long after a take-over
+/// is out of reach: it reports within an interval, give or take a quarter, and the
+/// owner tells it its term at once.
+fn unreachable_after(config: &Config) -> f64 {
+    /// A worker waits this long for an answer before it tries another controller.
+    const ANSWER_S: f64 = 4.0;
+    config.report.as_secs_f64() * 1.25 + ANSWER_S
+}
+
+/// Part of the fleet, at most, that may be out of reach for any of it to be given up
+/// early: beyond it is a cut, which heals.
+const FEW: usize = 8;
+
+/// Machines that were not heard since their part was taken over, while jobs wait that
+/// they may run. The cloud's confirmation sets those jobs free a good part of a
+/// worker's lease earlier. Done where that is longer than half of what a replacement
+/// takes to boot, as the machine may not be dead.
+fn unheard(config: &Config, seen: &Seen<'_>) -> Vec<MachineId> {
+    let wait = unreachable_after(config);
+    let gain = config.surely_lapsed().as_secs_f64() - wait;
+    let pays = |id: &MachineId| {
+        let record = seen.records.get(id);
+        let flavor = record.and_then(|r| config.flavors.get(&r.flavor));
+        flavor.is_some_and(|f| gain > f.boot_s.0 / 2.0)
+    };
+    let machines = || seen.parts.values().flat_map(|p| &p.machines);
+    let out_of_reach = machines().filter(|m| m.unheard || m.silent_s > wait);
+    if out_of_reach.count() * FEW > seen.records.len() {
+        return Vec::new();
+    }
+    let blocked = seen.parts.values().filter(|p| !p.demand.is_empty());
+    blocked
+        .flat_map(|p| &p.machines)
+        .filter(|m| m.unheard && m.lost_s > wait && pays(&m.machine))
+        .map(|m| m.machine.clone())
+        .collect()
+}
+
 /// Machines the list shows as failed, never up, or gone. One list alone, which
 /// may be stale, never decides over a machine that may still work.
 pub(super) fn release_dead(config: &Config, memory: &mut Memory, seen: &Seen<'_>) -> Vec<Action> {
@@ -55,6 +93,7 @@
         .collect();
     release(retiring, "retired by its part");
     release(out_of_touch(config, memory, seen), "out of touch");
+    release(unheard(config, seen), "not heard by its new owner");
     let Some(list) = seen.list else {
         return actions;
     };
--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -838,17 +838,18 @@
     }
 
     /// Whether any unheard machine may still run a task of this job.
-    pub fn may_run_unseen(&self, job: &Job) -> bool {
+    pub fn may_run_unseen(&self, job: &Job, config: &Config) -> bool {
+        let may_run = |m: &Machine| match config.flavors.get(&m.record.flavor) {
+            Some(flavor) => config.flavor_fits(&job.spec, flavor),
+            None => true,
+        };
+        let spec = &job.spec;
         job.old
             && self.machines.values().any(|m| {
-                let spec = &job.spec;
                 m.unheard
                     && (spec.spot || !m.record.spot)
                     && spec.zone.as_ref().is_none_or(|z| *z == m.record.zone)
-                    && spec
-                        .types
-                        .as_ref()
-                        .is_none_or(|t| t.contains(&m.record.flavor))
+                    && may_run(m)
             })
     }
 
--- a/crates/pulleywood-core/src/lend.rs
+++ b/crates/pulleywood-core/src/lend.rs
@@ -1,6 +1,7 @@
 //! Loans: waiting tasks that a part offers to another, and zones that lent
 //! tasks are bound to.
 
+use crate::config::Config;
 use crate::ledger::{Job, PartLedger};
 use pulleywood_wire::peer::Demand;
 use pulleywood_wire::record::{JobRecord, TaskSet};
@@ -24,7 +25,7 @@
 impl PartLedger {
     /// Takes waiting tasks of one shape out of use, to lend them: by job, as
     /// many as asked for. Last come, first lent.
-    pub fn offer(&mut self, like: &Demand) -> Vec<Offer> {
+    pub fn offer(&mut self, like: &Demand, config: &Config) -> Vec<Offer> {
         let mut left = like.count;
         let mut jobs: Vec<(u64, JobId)> = self
             .jobs
@@ -34,7 +35,7 @@
                     && !job.waiting.is_empty()
                     && job.offered.is_empty()
                     && !job.health.is_broken()
-                    && !self.may_run_unseen(job)
+                    && !self.may_run_unseen(job, config)
                     && like.matches(&job.spec)
             })
             .map(|(id, job)| (job.at_ms, id.clone()))
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -12,6 +12,7 @@
 use pulleywood_wire::{MachineId, Moment, PartId, Rank, Term};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 const A: PartId = PartId(0);
 const B: PartId = PartId(1);
@@ -91,6 +92,7 @@
             idle_s,
             silent_s: 0.5,
             lost_s: 0.5,
+            unheard: false,
             unfit: false,
             pinned: 0.0,
             held: vec![(rank, 4.0 * held, held, 8.0 * held)],
@@ -407,6 +409,53 @@
     }
 }
 
+#[test]
+fn machines_not_heard_after_a_take_over_are_given_up_early_if_they_are_few() {
+    // Of 32 machines some were not heard since their part was taken over. Jobs from
+    // before wait for each of them; one dead machine held up a part for a lease.
+    // (the worker's lease, not heard, for how long, others silent, tasks wait,
+    // released)
+    let cases = [
+        (36, 2, 13.0, 0, true, 2),
+        (36, 2, 10.0, 0, true, 0),
+        (36, 4, 13.0, 0, true, 4),
+        // Too many: a cut, which heals.
+        (36, 5, 13.0, 0, true, 0),
+        (36, 2, 13.0, 3, true, 0),
+        // Nothing waits for them.
+        (36, 2, 13.0, 0, false, 0),
+        // Their leases lapse soon enough.
+        (20, 2, 13.0, 0, true, 0),
+    ];
+    for (lease_s, unheard, lost_s, silent, waits, released) in cases {
+        let mut fleet = Fleet::new();
+        fleet.config.report = Duration::from_secs(6);
+        fleet.config.lease = Duration::from_secs(lease_s);
+        for n in 0..32 {
+            let part = if n % 2 == 0 { A } else { B };
+            fleet.machine(part, n, 4.0, Rank::Standard, -1.0);
+        }
+        for (part, count) in [(A, unheard), (B, silent)] {
+            let part = Arc::make_mut(fleet.parts.get_mut(&part).unwrap());
+            for m in part.machines.iter_mut().take(count) {
+                m.lost_s = lost_s;
+                m.unheard = part.part == A;
+                m.silent_s = if m.unheard { -1.0 } else { 30.0 };
+            }
+        }
+        if waits {
+            fleet.needs(A, demand(1, Rank::Standard, true));
+        }
+        let actions = fleet.decide(at(0.0));
+        let given_up = actions.iter().map(|a| match a {
+            Action::Release(machines, _) => machines.len(),
+            _ => 0,
+        });
+        let case = (lease_s, unheard, lost_s, silent, waits);
+        assert_eq!(given_up.sum::<usize>(), released, "{case:?}: {actions:?}");
+    }
+}
+
 #[test]
 fn all_that_is_lacking_is_rented_in_one_round_and_only_once() {
     // Rounds of 50 were seconds apart, and as long as array work waited, one
--- a/crates/pulleywood-core/tests/home.rs
+++ b/crates/pulleywood-core/tests/home.rs
@@ -20,6 +20,7 @@
         idle_s: -1.0,
         silent_s: 0.5,
         lost_s: 0.5,
+        unheard: false,
         unfit: false,
         pinned: 0.0,
         held: vec![(Rank::Idle, idle * 4.0, idle, idle * 8.0)],
--- a/crates/pulleywood-wire/src/peer.rs
+++ b/crates/pulleywood-wire/src/peer.rs
@@ -144,6 +144,10 @@
     pub silent_s: f64,
     /// Seconds since its worker was surely in touch both ways.
     pub lost_s: f64,
+    /// It may run tasks of an earlier owner: its part was taken over, and its worker
+    /// has not been heard since. Jobs from before the take-over wait for it.
+    #[serde(default)]
+    pub unheard: bool,
     /// It should be replaced.
     pub unfit: bool,
     /// Share of it that tasks hold which may not run on spot machines.
--- a/crates/pulleywood/src/errands.rs
+++ b/crates/pulleywood/src/errands.rs
@@ -33,7 +33,7 @@
         let Some(owned) = node.owned.get_mut(&from).filter(|o| o.loaded && !o.leaving) else {
             return false;
         };
-        let offers = owned.ledger.offer(like);
+        let offers = owned.ledger.offer(like, &config);
         let mut commits = Vec::new();
         for Offer { id, zone, tasks } in offers {
             let Some(job) = owned.ledger.jobs.get(&id) else {
