--- a/crates/pulleywood-core/tests/ledger.rs
+++ b/crates/pulleywood-core/tests/ledger.rs
@@ -126,6 +126,32 @@
     }
 }
 
+#[test]
+fn older_jobs_wait_only_for_machines_that_their_tasks_fit_on() {
+    // (the silent machine's type, processors of a task, launched)
+    let cases = [
+        ("g4", 16.0, 0),
+        ("s1", 16.0, 1),
+        ("s1", 4.0, 0),
+        ("a type that is not known", 16.0, 0),
+    ];
+    for (flavor, cpus, expected) in cases {
+        let mut b = Bench::after(&["a", "a"], true, at(60.0));
+        let mut small = b.config.flavors["g4"].clone();
+        small.label = "s1".into();
+        small.cpus.0 = 4.0;
+        b.config.flavors.insert("s1".into(), small);
+        let silent = b.ledger.machines.get_mut(&machine(1)).unwrap();
+        silent.record.flavor = flavor.into();
+        let mut older = spec(1, 1);
+        older.cpus.0 = cpus;
+        b.submit(older, true);
+        let report = b.report(0, 1, vec![]);
+        let launched = launches(&b.turn(&report, 20.0)).len();
+        assert_eq!(launched, expected, "{flavor} {cpus}");
+    }
+}
+
 #[test]
 fn a_machine_answered_since_holds_its_tasks_a_lease_longer() {
     // Answering a report that has not seen the term renews the worker's lease.
