--- a/crates/pulleywood-core/src/fleet/give_back.rs
+++ b/crates/pulleywood-core/src/fleet/give_back.rs
@@ -75,14 +75,12 @@
         }
     }
     for spot in [false, true] {
-        // Of ordinary machines, a cushion for work that can use no others.
+        // No ordinary machines are kept idle if all work may use spot ones.
+        let needs_cushion = spot || bins.iter().any(|b| b.pinned > 0.0);
         let in_use: f64 = bins
             .iter()
-            .filter(|b| b.kind.spot == spot)
-            .map(|b| match spot {
-                true => 1.0 - b.free.share_of(&b.whole),
-                false => b.pinned,
-            })
+            .filter(|b| needs_cushion && b.kind.spot == spot)
+            .map(|b| 1.0 - b.free.share_of(&b.whole))
             .sum();
         let mut idle: Vec<(f64, &MachineId, PartId)> = bins
             .iter()
--- a/crates/pulleywood-core/tests/fleet.rs
+++ b/crates/pulleywood-core/tests/fleet.rs
@@ -335,23 +335,25 @@
 }
 
 #[test]
-fn a_cushion_of_ordinary_machines_is_kept_for_bound_work_alone() {
-    // Ten ordinary machines in use and two idle ones, at a cushion of a tenth.
-    for (pinned, returned) in [(1.0, 1), (0.0, 2)] {
+fn a_cushion_of_ordinary_machines_is_kept_only_if_some_work_is_bound_to_them() {
+    // Twenty ordinary machines half in use and two idle ones, at a cushion of a tenth. Where
+    // services are bound to some, all in use count: their replicas move there when a
+    // machine is lost.
+    for (bound, returned) in [(10, 1), (1, 1), (0, 2)] {
         let mut fleet = Fleet::new();
-        for n in 0..10 {
+        for n in 0..20 {
             fleet.machine(A, n, 4.0, Rank::Standard, -1.0);
         }
-        for n in 10..12 {
+        for n in 20..22 {
             fleet.machine(A, n, 0.0, Rank::Standard, 500.0);
         }
         let part = Arc::make_mut(fleet.parts.get_mut(&A).unwrap());
-        for digest in part.machines.iter_mut().take(10) {
-            digest.pinned = pinned;
+        for digest in part.machines.iter_mut().take(bound) {
+            digest.pinned = 0.5;
         }
         let actions = fleet.decide(at(0.0));
         let given_back = actions.iter().filter(|a| matches!(a, Action::Retire(..)));
-        assert_eq!(given_back.count(), returned, "{pinned}: {actions:?}");
+        assert_eq!(given_back.count(), returned, "{bound}: {actions:?}");
     }
 }
 
