Serve more connections than threads: park those that wait for bytes

Need: one controller has to answer every worker of 4,000 machines and half as many again; a thread for each connection stops at 2,000 threads a process, and each connection beyond three quarters of the threads was refused.

Change: a connection holds a thread only while threads are plentiful. Beyond that it is parked on a readiness poll (mio, the nearest kin of standard threads whose registration needs no unsafe code) between requests and while the rest of a request is awaited; slow or silent clients hold no thread. Users' requests take at most three quarters of the threads, the rest is for workers and health checks; refused ones hear 503 with Retry-After at once.

Excluded: polling (its registration is unsafe), a read loop in one thread (the house style is threads and blocking sockets).

--- a/crates/pulleywood-net/tests/server.rs
+++ b/crates/pulleywood-net/tests/server.rs
@@ -1,11 +1,49 @@
-//! The server when more come than it has connections.
+//! The server when more come than it has connections or threads, and when they
+//! are slow, silent or malformed.
 
 use pulleywood_net::Client;
-use pulleywood_net::server::{From, Handler, Request, Response, serve};
+use pulleywood_net::server::{Handler, Limits, Request, Response, Sender, Server, serve};
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+const REPORT: &str = "/v1/report";
+const READY: &str = "/ready";
+const POLL: &str = "/v2/runs/j-1";
+
+fn sender_of(path: &str) -> Sender {
+    match path {
+        REPORT => Sender::Worker,
+        READY => Sender::Probe,
+        _ => Sender::User,
+    }
+}
+
+fn start<H: Handler>(connections: usize, threads: usize, handler: H) -> Server {
+    let limits = Limits {
+        connections,
+        threads,
+    };
+    serve(([127, 0, 0, 1], 0).into(), limits, handler).unwrap()
+}
+
+struct Echo;
+impl Handler for Echo {
+    fn handle(&self, request: &Request<'_>) -> Response {
+        Response {
+            status: 200,
+            body: request.body.to_vec(),
+            ..Response::default()
+        }
+    }
+
+    fn sender(&self, request: &Request<'_>) -> Sender {
+        sender_of(request.path)
+    }
+}
 
 /// Counts the answers that each worker got.
 struct Owner(Arc<Vec<AtomicU32>>);
@@ -15,26 +53,137 @@
         if let Ok(worker) = std::str::from_utf8(request.body).unwrap().parse::<usize>() {
             self.0[worker].fetch_add(1, Ordering::Relaxed);
         }
-        Response {
-            from: From::Worker,
-            ..Response::status(200)
+        Response::status(200)
+    }
+
+    fn sender(&self, _request: &Request<'_>) -> Sender {
+        Sender::Worker
+    }
+}
+
+/// Holds users' requests until it is told to let them go.
+struct Gate(Arc<AtomicBool>);
+
+impl Handler for Gate {
+    fn handle(&self, request: &Request<'_>) -> Response {
+        while sender_of(request.path) == Sender::User && !self.0.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Response::status(200)
+    }
+
+    fn sender(&self, request: &Request<'_>) -> Sender {
+        sender_of(request.path)
+    }
+}
+
+/// Reads the head of an answer without a body.
+fn read_head(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    let mut byte = [0];
+    while !answer.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap() == 1 {
+        answer.push(byte[0]);
+    }
+    String::from_utf8(answer).unwrap()
+}
+
+fn request_on(stream: &mut TcpStream, path: &str) -> String {
+    // In one piece: pieces wait for each other's confirmation.
+    let request = format!("GET {path} HTTP/1.1\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    read_head(stream)
+}
+
+/// Asks, and says whether the connection was kept open for more.
+fn ask(addr: SocketAddr, path: &str) -> (String, Option<TcpStream>) {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    let answer = request_on(&mut stream, path);
+    if !answer.contains("Connection: close") {
+        return (answer, Some(stream));
+    }
+    let mut byte = [0];
+    assert_eq!(stream.read(&mut byte).unwrap(), 0, "it said that it closes");
+    (answer, None)
+}
+
+fn wait_until(what: &str, mut true_: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(60);
+    while !true_() {
+        assert!(Instant::now() < end, "never came: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn connections_beyond_the_bound_are_answered_and_workers_keep_theirs() {
+    // When all connections were taken by whoever had come first, workers were
+    // refused and their leases ran out. (who, how many come, how many keep theirs)
+    let cases = [(POLL, 100, 8), (REPORT, 100, 5)];
+    for threads in [16, 4] {
+        let server = start(16, threads, Echo);
+        let mut kept = Vec::new();
+        for (path, come, keep) in cases {
+            let before = kept.len();
+            for _ in 0..come {
+                let (answer, open) = ask(server.address, path);
+                assert!(answer.starts_with("HTTP/1.1 200"), "{path}: {answer}");
+                kept.extend(open);
+            }
+            assert_eq!(kept.len() - before, keep, "{path}, {threads} threads");
+        }
+    }
+}
+
+#[test]
+fn malformed_and_oversized_requests_are_refused() {
+    let cases = [
+        (
+            "POST / HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+            "200",
+        ),
+        ("garbage\r\n\r\n", "400"),
+        ("POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"),
+        ("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413"),
+        (
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "411",
+        ),
+    ];
+    // A thread for each connection, and a single one for all.
+    for threads in [8, 1] {
+        let server = start(8, threads, Echo);
+        for (sent, status) in cases {
+            let mut stream = TcpStream::connect(server.address).unwrap();
+            stream.write_all(sent.as_bytes()).unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).unwrap();
+            assert_eq!(answer.split(' ').nth(1), Some(status), "{sent:?}");
         }
     }
 }
 
 #[test]
 fn more_workers_than_connections_are_all_answered_report_after_report() {
-    // One controller has to carry every part: workers keep their connections as
-    // long as there are enough, the rest come anew with each report. (Connections,
-    // workers)
-    const ROUNDS: u32 = 4;
-    for (most, workers) in [(16, 16), (16, 60), (8, 40)] {
+    // One controller has to carry every shard: workers keep their connections as
+    // long as there are enough, the rest come anew with each report.
+    // (connections, threads, workers, rounds)
+    let cases = [
+        (16, 16, 16, 4),
+        (16, 16, 60, 4),
+        (8, 8, 40, 4),
+        (16, 4, 60, 4),
+        // Half as many again as 4,000 machines, against the sockets and a
+        // twentieth of the threads that a controller usually has.
+        (1500, 64, 6000, 2),
+    ];
+    for (most, threads, workers, rounds) in cases {
         let counts: Vec<AtomicU32> = (0..workers).map(|_| AtomicU32::new(0)).collect();
         let counts = Arc::new(counts);
-        let addr = serve(([127, 0, 0, 1], 0).into(), most, Owner(Arc::clone(&counts))).unwrap();
-        let clients: BTreeMap<usize, Client> =
-            (0..workers).map(|w| (w, Client::new(addr, 1))).collect();
-        for round in 1..=ROUNDS {
+        let server = start(most, threads, Owner(Arc::clone(&counts)));
+        let clients: BTreeMap<usize, Client> = (0..workers)
+            .map(|w| (w, Client::new(server.address, 1)))
+            .collect();
+        for round in 1..=rounds {
             // Two at a time: an answer never takes long.
             std::thread::scope(|scope| {
                 for half in 0..2 {
@@ -44,7 +193,7 @@
                             let body = worker.to_string();
                             let report = || {
                                 let time = Duration::from_secs(5);
-                                client.call("POST", "/v1/report", Some(body.as_bytes()), time)
+                                client.call("POST", REPORT, Some(body.as_bytes()), time)
                             };
                             // One that meets the last place taken comes once more.
                             let tries = (0..20).take_while(|_| match report() {
@@ -59,5 +208,134 @@
             let answered = counts.iter().filter(|c| c.load(Ordering::Relaxed) >= round);
             assert_eq!(answered.count(), workers, "{most} {workers}, round {round}");
         }
+        assert!(server.gauges.most_threads() <= threads, "{most} {workers}");
+        assert!(server.gauges.open() <= most, "{most} {workers}");
+    }
+}
+
+#[test]
+fn connections_that_wait_hold_no_thread() {
+    // Each connection had a thread, so that no more than 2,000 workers could stay.
+    const KEPT: usize = 1000;
+    const THREADS: usize = 16;
+    let server = start(KEPT * 2, THREADS, Echo);
+    let mut kept: Vec<TcpStream> = (0..KEPT)
+        .map(|n| {
+            let (answer, open) = ask(server.address, REPORT);
+            assert!(answer.starts_with("HTTP/1.1 200"), "{n}: {answer}");
+            open.unwrap_or_else(|| panic!("connection {n} was closed"))
+        })
+        .collect();
+    assert_eq!(server.gauges.open(), KEPT);
+    for round in 0..2 {
+        for stream in &mut kept {
+            let answer = request_on(stream, REPORT);
+            assert!(answer.starts_with("HTTP/1.1 200"), "{round}: {answer}");
+        }
+    }
+    assert!(server.gauges.most_threads() <= THREADS);
+    // Those that go leave their places.
+    drop(kept);
+    wait_until("closed", || server.gauges.open() == 0);
+}
+
+#[test]
+fn slow_and_silent_clients_take_no_thread_from_others() {
+    // (what each sends first, what it sends later, its answer then)
+    let cases = [
+        ("", "GET /v2/runs/j-1 HTTP/1.1\r\n\r\n", "HTTP/1.1 200"),
+        ("GET /v2/runs", "/j-1 HTTP/1.1\r\n\r\n", "HTTP/1.1 200"),
+        (
+            "POST /v2/runs HTTP/1.1\r\nContent-Length: 3\r\n\r\nx",
+            "yz",
+            "HTTP/1.1 200",
+        ),
+        ("GET /v2/runs", " HTTQ/9\r\n\r\n", "HTTP/1.1 400"),
+    ];
+    for (first, rest, answer) in cases {
+        let server = start(400, 6, Echo);
+        let mut slow: Vec<TcpStream> = (0..100)
+            .map(|_| {
+                let mut stream = TcpStream::connect(server.address).unwrap();
+                stream.write_all(first.as_bytes()).unwrap();
+                stream
+            })
+            .collect();
+        wait_until("all are open", || server.gauges.open() >= 100);
+        for path in [REPORT, READY, POLL].into_iter().cycle().take(30) {
+            let (others, _) = ask(server.address, path);
+            assert!(others.starts_with("HTTP/1.1 200"), "{first:?}: {others}");
+        }
+        assert!(server.gauges.most_threads() <= 6, "{first:?}");
+        for stream in slow.iter_mut().take(10) {
+            stream.write_all(rest.as_bytes()).unwrap();
+            assert!(read_head(stream).starts_with(answer), "{first:?}");
+        }
+    }
+}
+
+#[test]
+fn half_a_request_is_not_waited_for_for_ever() {
+    let server = start(40, 2, Echo);
+    let mut slow: Vec<TcpStream> = (0..10)
+        .map(|_| {
+            let mut stream = TcpStream::connect(server.address).unwrap();
+            stream.write_all(b"POST /v2/runs HTT").unwrap();
+            stream
+        })
+        .collect();
+    for stream in &mut slow {
+        let mut byte = [0];
+        // Closed by the server, whether it was parked or on a thread.
+        assert!(!matches!(stream.read(&mut byte), Ok(1)));
+    }
+    wait_until("closed", || server.gauges.open() == 0);
+}
+
+#[test]
+fn users_leave_threads_to_workers_and_health_checks() {
+    const THREADS: usize = 8;
+    let open = Arc::new(AtomicBool::new(false));
+    let server = start(100, THREADS, Gate(Arc::clone(&open)));
+    let answers: Vec<String> = std::thread::scope(|scope| {
+        let users: Vec<_> = (0..20)
+            .map(|_| scope.spawn(|| ask(server.address, POLL).0))
+            .collect();
+        // Those who find no thread are answered while the others wait.
+        wait_until("the rest is refused", || {
+            users.iter().filter(|u| u.is_finished()).count() == 20 - THREADS * 3 / 4
+        });
+        for path in [REPORT, READY].into_iter().cycle().take(20) {
+            let (answer, _) = ask(server.address, path);
+            assert!(answer.starts_with("HTTP/1.1 200"), "{path}: {answer}");
+        }
+        open.store(true, Ordering::Relaxed);
+        users.into_iter().map(|u| u.join().unwrap()).collect()
+    });
+    let refused = answers.iter().filter(|a| a.starts_with("HTTP/1.1 503"));
+    assert!(refused.clone().all(|a| a.contains("Retry-After: 1")));
+    assert_eq!(refused.count(), 20 - THREADS * 3 / 4);
+    assert!(server.gauges.most_threads() <= THREADS);
+}
+
+#[test]
+fn a_burst_beyond_all_sockets_is_refused_at_once() {
+    // (sockets, come at once)
+    for (most, come) in [(10, 50), (100, 300)] {
+        let server = start(most, 4, Echo);
+        let mut all: Vec<TcpStream> = (0..come)
+            .map(|_| TcpStream::connect(server.address).unwrap())
+            .collect();
+        // The first ones are taken in, and wait; the rest hears so unasked.
+        for stream in &mut all[most..] {
+            let answer = read_head(stream);
+            assert!(answer.starts_with("HTTP/1.1 503"), "{most}: {answer}");
+            assert!(answer.contains("Retry-After: 1"), "{most}: {answer}");
+        }
+        assert_eq!(server.gauges.open(), most);
+        for stream in &mut all[..most] {
+            let answer = request_on(stream, REPORT);
+            assert!(answer.starts_with("HTTP/1.1 200"), "{most}: {answer}");
+        }
     }
 }
--- a/crates/pulleywood-standins/src/cloud.rs
+++ b/crates/pulleywood-standins/src/cloud.rs
@@ -4,7 +4,7 @@
 use crate::worker::{Place, Worker};
 use crate::world::World;
 use parking_lot::Mutex;
-use pulleywood_net::server::{Handler, Request, Response, serve};
+use pulleywood_net::server::{Handler, Limits, Request, Response, serve};
 use pulleywood_wire::cbor::{self, Amount};
 use pulleywood_wire::cloud::{Flavor, Flavors, Hire, Hired, Rental, RentalPage, RentalStatus};
 use pulleywood_wire::{MachineId, MemberId};
@@ -63,7 +63,12 @@
             world,
             rented: Mutex::default(),
         });
-        let addr = serve(loopback(), 32, Counter(Arc::clone(&shared)))?;
+        let addr = serve(
+            loopback(),
+            Limits::thread_each(32),
+            Counter(Arc::clone(&shared)),
+        )?
+        .address;
         Ok(Cloud { addr, shared })
     }
 
--- a/crates/pulleywood-standins/src/state.rs
+++ b/crates/pulleywood-standins/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::{loopback, query};
 use parking_lot::{Condvar, Mutex};
-use pulleywood_net::server::{Handler, Request, Response, serve};
+use pulleywood_net::server::{Handler, Limits, Request, Response, serve};
 use pulleywood_wire::cbor::{self, Value};
 use pulleywood_wire::state::{Change, Commit, Event, Events, Granted, Item, Page, Revision, Ttl};
 use pulleywood_wire::{Permit, Stamp};
@@ -93,7 +93,7 @@
             shared: Arc::clone(&self.shared),
             fault: Arc::clone(&fault),
         };
-        let addr = serve(loopback(), 64, handler)?;
+        let addr = serve(loopback(), Limits::thread_each(64), handler)?.address;
         Ok(Front { addr, fault })
     }
 
--- a/crates/pulleywood-standins/src/worker.rs
+++ b/crates/pulleywood-standins/src/worker.rs
@@ -4,7 +4,7 @@
 use crate::world::World;
 use parking_lot::Mutex;
 use pulleywood_net::Client;
-use pulleywood_net::server::{Handler, Request, Response, serve};
+use pulleywood_net::server::{Handler, Limits, Request, Response, serve};
 use pulleywood_wire::cbor;
 use pulleywood_wire::worker::{
     Cause, Direct, Order, Redirect, Report, ReportAnswer, TaskReport, TaskState,
@@ -98,7 +98,7 @@
             worker: Arc::clone(&worker),
             addr: Arc::clone(&known),
         };
-        let addr = serve(loopback(), 16, direction)?;
+        let addr = serve(loopback(), Limits::thread_each(16), direction)?.address;
         *known.lock() = Some(addr);
         let own = Arc::clone(&worker);
         std::thread::spawn(move || own.run(addr));
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -9,7 +9,7 @@
 use pulleywood_core::Config;
 use pulleywood_core::config::Policy;
 use pulleywood_net::peer::PeerClient;
-use pulleywood_net::server::{self, From, Handler, Request, Response};
+use pulleywood_net::server::{self, Handler, Limits, Request, Response, Sender};
 use pulleywood_net::{Budget, CloudClient, Pace, StateClient};
 use pulleywood_wire::MemberId;
 use pulleywood_wire::settings::{Bounds, Settings};
@@ -27,8 +27,8 @@
 /// Share of the cloud's rate for reading machine types.
 const CLOUD_TYPES_SHARE: f64 = 0.1;
 
-/// Fewer connections than this serve a handful of machines only.
-const FEW_CONNECTIONS: usize = 64;
+/// Fewer threads for connections than this serve a handful of machines only.
+const FEW_THREADS: usize = 64;
 
 /// Why a controller cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -103,9 +103,9 @@
             settings,
         });
         let bounds = Bounds::new(&shared.settings);
-        if let Some(field) = Bounds::too_few(&shared.settings, FEW_CONNECTIONS) {
-            let n = bounds.connections;
-            log::warn!("cluster.resources.{field} allows no more than {n} connections");
+        if let Some(field) = Bounds::too_few(&shared.settings, FEW_THREADS) {
+            let n = bounds.threads;
+            log::warn!("cluster.resources.{field} allows no more than {n} threads for connections");
         }
         let peer_listen = address(&shared.settings.cluster_listen)?;
         let io = |what: &str| {
@@ -118,8 +118,14 @@
         })
         .map_err(io("cluster_listen"))?;
         let serve_on = address(&shared.settings.serve_on)?;
-        let serve_on = server::serve(serve_on, bounds.connections, Front(Arc::clone(&shared)))
-            .map_err(io("serve_on"))?;
+        let limits = Limits {
+            connections: bounds.connections,
+            threads: bounds.threads,
+        };
+        let front = Front(Arc::clone(&shared));
+        let serve_on = server::serve(serve_on, limits, front)
+            .map_err(io("serve_on"))?
+            .address;
         let threads: [(&str, Body); 10] = [
             ("follow", follow::run),
             ("read", follow::read_for_users),
@@ -170,6 +176,14 @@
 struct Front(Arc<Shared>);
 
 impl Handler for Front {
+    fn sender(&self, request: &Request<'_>) -> Sender {
+        match request.path {
+            "/v1/report" => Sender::Worker,
+            "/ready" => Sender::Probe,
+            _ => Sender::User,
+        }
+    }
+
     fn handle(&self, request: &Request<'_>) -> Response {
         let shared = &self.0;
         let (path, post) = (request.path, request.method == "POST");
@@ -180,10 +194,7 @@
         };
         if path == "/v1/report" {
             return match post {
-                true => Response {
-                    from: From::Worker,
-                    ..workers::report(shared, request.body)
-                },
+                true => workers::report(shared, request.body),
                 false => not("POST"),
             };
         }
