Let a record that cannot be read block its own job or machine alone

One such record in a pack or rack took all others of the value with it, and tasks of an earlier owner on a machine of that rack could have been launched elsewhere at once.

Change: packs and racks are read record by record; what cannot be read is logged with its key and written back as it was. Such a job counts as live, what runs of it runs on, nothing is launched or cleared. Such a machine is commanded by nobody, and older jobs wait until its tasks have surely lapsed.

Left: a pack that is no pack at all hides its jobs, whose ids nobody can tell.

--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -170,6 +170,12 @@
     pub term: Term,
     /// Live jobs.
     pub jobs: BTreeMap<JobId, Job>,
+    /// Live jobs whose records cannot be read: what runs of them runs on, what is
+    /// done of them is kept, and nothing of them is launched.
+    pub unreadable_jobs: BTreeSet<JobId>,
+    /// Records of machines could not be read when the part was taken: any task of
+    /// an earlier owner may be on one of them.
+    pub unreadable_machines: bool,
     /// Machines.
     pub machines: BTreeMap<MachineId, Machine>,
     /// What each limited team may use here.
@@ -203,6 +209,8 @@
             part,
             term,
             jobs: BTreeMap::new(),
+            unreadable_jobs: BTreeSet::new(),
+            unreadable_machines: false,
             machines: BTreeMap::new(),
             grants: GrantRecord::default(),
             silent_until,
@@ -243,6 +251,7 @@
         config: &Config,
     ) {
         let id = record.spec.id.clone();
+        self.unreadable_jobs.remove(&id);
         // Most records are of other parts.
         let ours = record.part == self.part || record.lent.iter().any(|l| l.part == self.part);
         if !ours && !self.jobs.contains_key(&id) {
@@ -383,7 +392,8 @@
     /// A job's record is gone: it is done or cancelled. What still runs of it
     /// is stopped, and counts until it is gone.
     pub fn drop_job(&mut self, id: &JobId) {
-        if self.jobs.remove(id).is_none() {
+        let known = self.jobs.remove(id).is_some();
+        if !self.unreadable_jobs.remove(id) && !known {
             return;
         }
         for machine in self.machines.values_mut() {
@@ -395,6 +405,25 @@
         self.disturb();
     }
 
+    /// A job's record appeared or changed, and cannot be read.
+    pub fn block_job(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.remove(id) else {
+            self.unreadable_jobs.insert(id.clone());
+            return;
+        };
+        drop(job);
+        // What runs of it holds whatever room its machine has: nobody knows now
+        // what it takes.
+        for machine in self.machines.values_mut() {
+            for slot in machine.slots.iter_mut().filter(|s| &s.task.job == id) {
+                slot.spec = None;
+            }
+        }
+        self.dirty_jobs.remove(id);
+        self.unreadable_jobs.insert(id.clone());
+        self.disturb();
+    }
+
     /// A job's user is cancelling it: until the watch says so, or for this long,
     /// nothing of it is launched. It ends nothing, as the cancellation may fail.
     pub fn cancelling(&mut self, id: &JobId, until: Moment) {
@@ -613,7 +642,8 @@
     /// A task that this ledger did not launch: rebuilt after a take-over, or
     /// of a job that is over.
     fn adopt(&mut self, machine: &MachineId, seen: &TaskReport, now: Moment) -> Slot {
-        let mut halt = Some(0.0);
+        let blocked = self.unreadable_jobs.contains(&seen.task.job);
+        let mut halt = (!blocked).then_some(0.0);
         let mut spec = None;
         if let Some(job) = self.jobs.get_mut(&seen.task.job)
             && job.mine.contains(seen.task.index)
@@ -741,7 +771,7 @@
         };
         machine.answered = machine.answered.max(Some(now));
         machine.awaits = Some(machine.newest);
-        let mut orders = standing_orders(&machine.slots, &self.jobs);
+        let mut orders = standing_orders(&machine.slots, &self.jobs, &self.unreadable_jobs);
         let term = machine.term(self.term);
         // A record without the worker's address is of a machine that was never
         // launched on; a take-over relies on it, so it is completed first.
@@ -792,7 +822,7 @@
     pub fn direct_orders(&self, id: &MachineId) -> Vec<Order> {
         self.machines
             .get(id)
-            .map(|m| standing_orders(&m.slots, &self.jobs))
+            .map(|m| standing_orders(&m.slots, &self.jobs, &self.unreadable_jobs))
             .unwrap_or_default()
     }
 
@@ -826,6 +856,10 @@
                 }
             }
         }
+        if self.unreadable_machines && now >= self.silent_until {
+            self.unreadable_machines = false;
+            changed = true;
+        }
         for (task, attempt) in gone {
             self.requeue(&task, attempt);
             changed = true;
@@ -844,13 +878,14 @@
             None => true,
         };
         let spec = &job.spec;
-        job.old
-            && self.machines.values().any(|m| {
-                m.unheard
-                    && (spec.spot || !m.record.spot)
-                    && spec.zone.as_ref().is_none_or(|z| *z == m.record.zone)
-                    && may_run(m)
-            })
+        job.old && self.unreadable_machines
+            || job.old
+                && self.machines.values().any(|m| {
+                    m.unheard
+                        && (spec.spot || !m.record.spot)
+                        && spec.zone.as_ref().is_none_or(|z| *z == m.record.zone)
+                        && may_run(m)
+                })
     }
 
     /// Nothing is launched on these machines for a while; those that are no
@@ -905,7 +940,7 @@
 
     /// Whether any machine is still to be heard after a take-over.
     pub fn rebuilding(&self) -> bool {
-        self.machines.values().any(|m| m.unheard)
+        self.unreadable_machines || self.machines.values().any(|m| m.unheard)
     }
 
     /// Slots in use or perhaps in use by team. A machine whose tasks are not
@@ -984,9 +1019,14 @@
     }
 }
 
-fn standing_orders(slots: &[Slot], jobs: &BTreeMap<JobId, Job>) -> Vec<Order> {
+fn standing_orders(
+    slots: &[Slot],
+    jobs: &BTreeMap<JobId, Job>,
+    unreadable: &BTreeSet<JobId>,
+) -> Vec<Order> {
     let mut orders = Vec::new();
-    for slot in slots {
+    let readable = |s: &&Slot| !unreadable.contains(&s.task.job);
+    for slot in slots.iter().filter(readable) {
         let (leg, attempt) = (slot.task.clone(), slot.attempt);
         match (slot.state, slot.halt) {
             (SlotState::Exited { done }, _) => {
--- /dev/null
+++ b/crates/pulleywood-core/tests/unreadable.rs
@@ -0,0 +1,88 @@
+//! Records of jobs and machines that cannot be read.
+
+mod common;
+
+use common::{Bench, at, exited, job, launches, machine, spec, state, task};
+use pulleywood_wire::worker::{Cause, Order, TaskState};
+use pulleywood_wire::{Attempt, JobId, Moment, Stamp};
+use std::time::Duration;
+
+fn id(n: u64) -> JobId {
+    JobId::parse(&format!("j-{n}")).unwrap()
+}
+
+#[test]
+fn what_runs_of_a_job_that_cannot_be_read_runs_on_until_the_job_is_over() {
+    // Its tasks were stopped and its finished ones forgotten, as if it were over.
+    let running = state(&task(1, 0), Attempt(7), TaskState::Running);
+    let done = exited(&task(1, 1), Attempt(8), Cause::Done);
+    let mut b = Bench::after(&["a"], true, at(60.0));
+    b.ledger.block_job(&id(1));
+    let report = b.report(0, 1, vec![running.clone(), done.clone()]);
+    assert_eq!(b.turn(&report, 1.0), []);
+    assert!(
+        b.ledger.machines[&machine(0)].has_foreign(),
+        "nobody knows what it takes: the machine counts in full"
+    );
+    // Its user cancels it, or it ends elsewhere.
+    b.ledger.drop_job(&id(1));
+    let report = b.report(0, 2, vec![running.clone(), done.clone()]);
+    let orders = b.turn(&report, 2.0);
+    assert!(
+        orders
+            .iter()
+            .any(|o| matches!(o, Order::Halt { leg, .. } if *leg == running.task))
+    );
+    assert!(
+        orders
+            .iter()
+            .any(|o| matches!(o, Order::Clear { leg, .. } if *leg == done.task))
+    );
+}
+
+#[test]
+fn a_job_that_can_be_read_again_goes_on_with_the_attempts_it_had() {
+    let mut b = Bench::new(&["a", "a"]);
+    b.submit(spec(1, 4), false);
+    let report = b.report(0, 1, vec![]);
+    let started = launches(&b.turn(&report, 1.0));
+    assert_eq!(started.len(), 4);
+    b.ledger.block_job(&id(1));
+    let seen: Vec<_> = started
+        .iter()
+        .map(|(t, a)| state(t, *a, TaskState::Running))
+        .collect();
+    let report = b.report(0, 2, seen.clone());
+    assert_eq!(b.turn(&report, 2.0), [], "none is stopped");
+    let report = b.report(1, 1, vec![]);
+    assert_eq!(b.turn(&report, 2.0), [], "none starts elsewhere");
+    let again = job(spec(1, 4));
+    b.ledger
+        .put_job(&again, Stamp(9), false, at(3.0), &b.config);
+    let report = b.report(0, 3, seen);
+    assert_eq!(b.turn(&report, 3.0), []);
+    assert_eq!(b.ledger.jobs[&id(1)].active.len(), 4);
+}
+
+#[test]
+fn older_jobs_wait_while_a_machine_that_cannot_be_read_may_run_them() {
+    // (the record of a machine could not be read, the job is older, seconds since
+    // the take-over, launched)
+    let silent_until: Moment = at(0.0) + Duration::from_secs(20);
+    let cases = [
+        (false, true, 1.0, true),
+        (true, false, 1.0, true),
+        (true, true, 1.0, false),
+        (true, true, 19.0, false),
+        (true, true, 20.5, true),
+    ];
+    for (unreadable, old, s, launched) in cases {
+        let mut b = Bench::after(&["a"], true, silent_until);
+        b.ledger.unreadable_machines = unreadable;
+        b.submit(spec(1, 1), old);
+        b.ledger.tick(at(s), &b.config);
+        let report = b.report(0, 1, vec![]);
+        let orders = launches(&b.turn(&report, s));
+        assert_eq!(!orders.is_empty(), launched, "{unreadable} {old} {s}");
+    }
+}
--- a/crates/pulleywood-wire/src/pack.rs
+++ b/crates/pulleywood-wire/src/pack.rs
@@ -8,10 +8,12 @@
 //! and submissions on their own rest on the stamp of the packs' head, so that
 //! none overlooks a pack that has just been written.
 
+use crate::cbor::{self, DecodeError, Value};
 use crate::ids::{JobId, Stamp};
 use crate::record::{JobRecord, pack_key};
 use crate::state::Commit;
-use serde::{Deserialize, Serialize};
+use serde::ser::SerializeStruct;
+use serde::{Deserialize, Serialize, Serializer};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The head of the packs; written with each new one.
@@ -22,10 +24,73 @@
 }
 
 /// Jobs that were accepted together and are still as they were then.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Deserialize)]
 pub struct PackRecord {
     /// Their records.
     pub jobs: Vec<JobRecord>,
+    /// Records that this release cannot read. They stay as they are whenever the
+    /// pack is written, and none of their jobs is forgotten for it.
+    #[serde(skip)]
+    pub unreadable: Vec<Value>,
+}
+
+impl Serialize for PackRecord {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut record = serializer.serialize_struct("PackRecord", 1)?;
+        if self.unreadable.is_empty() {
+            record.serialize_field("jobs", &self.jobs)?;
+        } else {
+            let readable = self.jobs.iter().map(cbor::to_value);
+            let all: Vec<Value> = readable.chain(self.unreadable.iter().cloned()).collect();
+            record.serialize_field("jobs", &all)?;
+        }
+        record.end()
+    }
+}
+
+impl PackRecord {
+    /// Reads a stored pack. What cannot be read of it is kept apart, job by job;
+    /// an error means that it is no pack at all.
+    pub fn from_value(value: &Value) -> Result<PackRecord, DecodeError> {
+        #[derive(Deserialize)]
+        struct Raw {
+            jobs: Vec<Value>,
+        }
+        if let Ok(pack) = cbor::from_value(value) {
+            return Ok(pack);
+        }
+        let raw: Raw = cbor::from_value(value)?;
+        let mut pack = PackRecord::default();
+        for value in raw.jobs {
+            match cbor::from_value(&value) {
+                Ok(job) => pack.jobs.push(job),
+                Err(_) => pack.unreadable.push(value),
+            }
+        }
+        Ok(pack)
+    }
+
+    /// The jobs whose records cannot be read, where at least their ids can.
+    pub fn unreadable_ids(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.unreadable.iter().filter_map(job_id)
+    }
+
+    /// Nothing is left in it.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.unreadable.is_empty()
+    }
+}
+
+/// The id in a job's record that cannot be read as a whole.
+pub fn job_id(record: &Value) -> Option<JobId> {
+    let spec = field(record, "spec")?;
+    JobId::parse(field(spec, "uid")?.as_text()?)
+}
+
+fn field<'a>(map: &'a Value, name: &str) -> Option<&'a Value> {
+    let fields = map.as_map()?.iter();
+    let mut found = fields.filter(|(key, _)| key.as_text() == Some(name));
+    found.next().map(|(_, value)| value)
 }
 
 /// All packs as stored.
@@ -69,7 +134,7 @@
     /// need not be remembered.
     pub fn forget(&mut self, upto: u64) {
         self.packs
-            .retain(|_, (pack, stamp)| !pack.jobs.is_empty() || stamp.0 > upto);
+            .retain(|_, (pack, stamp)| !pack.is_empty() || stamp.0 > upto);
     }
 
     /// The pack that holds a job.
@@ -99,10 +164,11 @@
             let stay = pack.jobs.iter().filter(|j| !ids.contains(&j.spec.id));
             let stay = PackRecord {
                 jobs: stay.cloned().collect(),
+                unreadable: pack.unreadable.clone(),
             };
             let key = pack_key(n);
             commit = commit.when(key.clone(), *stamp);
-            if stay.jobs.is_empty() {
+            if stay.is_empty() {
                 commit = commit.delete(key);
                 left.push((n, None));
             } else {
--- a/crates/pulleywood-wire/src/rack.rs
+++ b/crates/pulleywood-wire/src/rack.rs
@@ -7,20 +7,68 @@
 //! (images, an end) is one write too. Each new rack rests on the stamp of the
 //! racks' head: whoever adopts has seen all racks, and no machine is in two.
 
+use crate::cbor::{self, DecodeError, Value};
 use crate::ids::{MachineId, Stamp};
 use crate::record::{MachineRecord, rack_key};
 use crate::state::Commit;
-use serde::{Deserialize, Serialize};
+use serde::ser::SerializeStruct;
+use serde::{Deserialize, Serialize, Serializer};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Records of machines that are kept in one value.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Deserialize)]
 pub struct RackRecord {
     /// By machine.
     pub machines: BTreeMap<MachineId, MachineRecord>,
+    /// Records that this release cannot read; they stay as they are whenever the
+    /// rack is written.
+    #[serde(skip)]
+    pub unreadable: BTreeMap<MachineId, Value>,
+}
+
+impl Serialize for RackRecord {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut record = serializer.serialize_struct("RackRecord", 1)?;
+        if self.unreadable.is_empty() {
+            record.serialize_field("machines", &self.machines)?;
+        } else {
+            let readable = self.machines.iter();
+            let mut all: BTreeMap<&MachineId, Value> =
+                readable.map(|(id, m)| (id, cbor::to_value(m))).collect();
+            all.extend(self.unreadable.iter().map(|(id, v)| (id, v.clone())));
+            record.serialize_field("machines", &all)?;
+        }
+        record.end()
+    }
 }
 
 impl RackRecord {
+    /// Reads a stored rack. What cannot be read of it is kept apart, machine by
+    /// machine; an error means that it is no rack at all.
+    pub fn from_value(value: &Value) -> Result<RackRecord, DecodeError> {
+        #[derive(Deserialize)]
+        struct Raw {
+            machines: BTreeMap<MachineId, Value>,
+        }
+        if let Ok(rack) = cbor::from_value(value) {
+            return Ok(rack);
+        }
+        let raw: Raw = cbor::from_value(value)?;
+        let mut rack = RackRecord::default();
+        for (id, value) in raw.machines {
+            match cbor::from_value(&value) {
+                Ok(machine) => drop(rack.machines.insert(id, machine)),
+                Err(_) => drop(rack.unreadable.insert(id, value)),
+            }
+        }
+        Ok(rack)
+    }
+
+    /// Nothing is left in it.
+    pub fn is_empty(&self) -> bool {
+        self.machines.is_empty() && self.unreadable.is_empty()
+    }
+
     /// Bytes it takes, as limits count them.
     pub fn bytes(&self) -> usize {
         serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
@@ -88,7 +136,7 @@
     /// need not be remembered.
     pub fn forget(&mut self, upto: u64) {
         self.racks
-            .retain(|_, (rack, stamp)| !rack.machines.is_empty() || stamp.0 > upto);
+            .retain(|_, (rack, stamp)| !rack.is_empty() || stamp.0 > upto);
     }
 
     /// The rack that holds a machine.
@@ -145,7 +193,7 @@
             }
             let key = rack_key(n);
             commit = commit.when(key.clone(), *stamp);
-            if next.machines.is_empty() {
+            if next.is_empty() {
                 commit = commit.delete(key);
                 after.push((n, None));
             } else {
--- a/crates/pulleywood-wire/tests/records.rs
+++ b/crates/pulleywood-wire/tests/records.rs
@@ -1,13 +1,14 @@
 //! Ids, done sets and loans, and the size of what is stored.
 
-use pulleywood_wire::cbor::{self, Amount};
+use pulleywood_wire::cbor::{self, Amount, Value};
 use pulleywood_wire::pack::{PackRecord, Packs};
 use pulleywood_wire::rack::{RackRecord, Racks};
 use pulleywood_wire::record::{ChunkRecord, JobRecord, Key, MachineRecord, TaskSet, chunk_tasks};
-use pulleywood_wire::state::Commit;
+use pulleywood_wire::state::{Change, Commit};
 use pulleywood_wire::{
     Attempt, JobId, JobSpec, MachineId, PartId, Rank, Shape, Stamp, TaskId, Term,
 };
+use std::collections::{BTreeMap, BTreeSet};
 
 fn spec(tasks: u32) -> JobSpec {
     JobSpec {
@@ -213,6 +214,7 @@
     let mut packs = Packs::default();
     let pack = PackRecord {
         jobs: vec![record(1), record(2), record(3)],
+        ..Default::default()
     };
     let (new, left) = packs.put(7, Some(pack.clone()), Stamp(10));
     assert_eq!((new.len(), left.len()), (3, 0));
@@ -261,6 +263,7 @@
     let machines = machines.map(|n| (machine(n), record.clone()));
     RackRecord {
         machines: machines.collect(),
+        ..Default::default()
     }
 }
 
@@ -330,3 +333,77 @@
         }
     }
 }
+
+/// A stored value with one record replaced by something of a later release.
+fn with_unreadable<T: serde::Serialize>(value: &T, list: &str, key: &str) -> Value {
+    let Value::Map(mut fields) = cbor::to_value(value) else {
+        panic!("a map");
+    };
+    let text = |text: &str| Value::Text(text.to_owned());
+    let spec = vec![
+        (text("uid"), text("j-77")),
+        (text("legs"), text("a new kind of number")),
+    ];
+    let later = Value::Map(vec![(text("spec"), Value::Map(spec))]);
+    let records = fields
+        .iter_mut()
+        .find(|(name, _)| name.as_text() == Some(list));
+    match &mut records.unwrap().1 {
+        Value::Array(records) => records.push(later),
+        Value::Map(records) => records.push((text(key), later)),
+        _ => panic!("records"),
+    }
+    Value::Map(fields)
+}
+
+#[test]
+fn what_cannot_be_read_blocks_its_own_job_or_machine_and_is_written_back_as_it_was() {
+    // One record that could not be read took all jobs of its pack with it, and was
+    // lost when the pack was written again.
+    let pack = PackRecord {
+        jobs: vec![JobRecord {
+            spec: spec(3),
+            at_ms: 0,
+            part: PartId(0),
+            lent: vec![],
+            done: String::new(),
+        }],
+        ..Default::default()
+    };
+    let stored = with_unreadable(&pack, "jobs", "");
+    let read = PackRecord::from_value(&stored).unwrap();
+    assert_eq!(read.jobs, pack.jobs);
+    let ids: Vec<JobId> = read.unreadable_ids().collect();
+    assert_eq!(ids, [JobId::parse("j-77").unwrap()]);
+    assert_eq!(cbor::to_value(&read), stored);
+    // The last job that can be read leaves: the rest stays stored.
+    let mut packs = Packs::default();
+    packs.put(1, Some(read), Stamp(5));
+    let leaving = BTreeSet::from([pack.jobs[0].spec.id.clone()]);
+    let (commit, left) = packs.take_out(Commit::default(), &leaving);
+    assert!(left[0].1.as_ref().is_some_and(|p| !p.is_empty()));
+    assert_eq!(commit.changes.len(), 1);
+    assert!(matches!(commit.changes[0], Change::Write { .. }));
+
+    let machines = rack(0..3, 0);
+    let stored = with_unreadable(&machines, "machines", "vm-9");
+    let read = RackRecord::from_value(&stored).unwrap();
+    assert_eq!(read.machines, machines.machines);
+    assert_eq!(read.unreadable.len(), 1);
+    let again = RackRecord::from_value(&cbor::to_value(&read)).unwrap();
+    assert_eq!(again, read);
+    let mut racks = Racks::default();
+    racks.put(1, Some(read), Stamp(5));
+    let gone: BTreeMap<MachineId, Option<MachineRecord>> = machines
+        .machines
+        .keys()
+        .map(|id| (id.clone(), None))
+        .collect();
+    let (_, left) = racks.change(Commit::default(), &gone, 8192);
+    assert!(left[0].1.as_ref().is_some_and(|r| !r.is_empty()));
+
+    for nothing in [Value::Null, Value::Text("x".into()), Value::Array(vec![])] {
+        assert!(PackRecord::from_value(&nothing).is_err());
+        assert!(RackRecord::from_value(&nothing).is_err());
+    }
+}
--- a/crates/pulleywood/src/follow.rs
+++ b/crates/pulleywood/src/follow.rs
@@ -1,11 +1,9 @@
 //! Follows the watched keys, so that every controller's view is fresh and each
 //! owner hears of new and cancelled jobs.
 
-use crate::node::{Shared, read};
+use crate::node::{Shared, read, read_pack, read_rack};
 use parking_lot::{Condvar, Mutex};
 use pulleywood_net::{Class, StateError};
-use pulleywood_wire::pack::PackRecord;
-use pulleywood_wire::rack::RackRecord;
 use pulleywood_wire::record::{FinalRecord, LIVE, PACKS, RACK, WATCHED, closed_job, job_key};
 use pulleywood_wire::state::{Event, Item};
 use pulleywood_wire::{JobId, MachineId, PartId};
@@ -181,14 +179,19 @@
     let packed: BTreeSet<JobId> = items
         .iter()
         .filter(|i| i.path.starts_with(PACKS))
-        .filter_map(|i| read::<PackRecord>(Some(&i.value), &i.path))
-        .flat_map(|pack| pack.jobs.into_iter().map(|j| j.spec.id))
+        .filter_map(|i| read_pack(&i.value, &i.path))
+        .flat_map(|pack| {
+            let unreadable: Vec<JobId> = pack.unreadable_ids().collect();
+            let jobs = pack.jobs.into_iter().map(|j| j.spec.id);
+            jobs.chain(unreadable)
+        })
         .collect();
     let parts = node.config.parts;
     let held = node.owned.values().filter(|o| o.loaded);
     let gone: BTreeSet<String> = held
         .flat_map(|o| {
-            let jobs = o.ledger.jobs.keys().filter(|id| !packed.contains(id));
+            let known = o.ledger.jobs.keys().chain(&o.ledger.unreadable_jobs);
+            let jobs = known.filter(|id| !packed.contains(*id));
             jobs.map(|id| job_key(id.part(parts), id))
         })
         .filter(|path| !listed.contains(path.as_str()))
@@ -196,8 +199,8 @@
     let racked: BTreeSet<MachineId> = items
         .iter()
         .filter(|i| i.path.starts_with(RACK))
-        .filter_map(|i| read::<RackRecord>(Some(&i.value), &i.path))
-        .flat_map(|rack| rack.machines.into_keys())
+        .filter_map(|i| read_rack(&i.value, &i.path))
+        .flat_map(|rack| rack.machines.into_keys().chain(rack.unreadable.into_keys()))
         .collect();
     for owned in node.owned.values_mut() {
         // What was adopted since the list was read is not in it.
--- a/crates/pulleywood/src/intake.rs
+++ b/crates/pulleywood/src/intake.rs
@@ -211,6 +211,7 @@
         };
         let pack = PackRecord {
             jobs: waiting.values().map(|w| w.record.clone()).collect(),
+            ..Default::default()
         };
         let key = pack_key(next.last);
         let mut commit = Commit::default()
--- a/crates/pulleywood/src/node.rs
+++ b/crates/pulleywood/src/node.rs
@@ -6,6 +6,7 @@
 use crate::follow::Reads;
 use crate::intake::Intake;
 use parking_lot::{Condvar, Mutex};
+use pulleywood_core::ledger::Job;
 use pulleywood_core::types::{self, Choices};
 use pulleywood_core::{Config, PartLedger, home};
 use pulleywood_net::peer::PeerClient;
@@ -130,6 +131,8 @@
     pub machines: BTreeMap<MachineId, (MachineRecord, Stamp)>,
     /// All live jobs, with how many of their tasks are recorded as done.
     pub jobs: BTreeMap<JobId, u32>,
+    /// Machines whose records cannot be read: nobody commands them.
+    pub unreadable_machines: BTreeSet<MachineId>,
     /// Packs of jobs.
     pub packs: Packs,
     /// Racks of machines.
@@ -467,8 +470,8 @@
             Key::Racks => self.view.rack_head = (read(value, &path).unwrap_or_default(), stamp),
             Key::Rack(n) => match value {
                 None => self.put_rack(n, None, stamp, now),
-                Some(_) => {
-                    if let Some(record) = read(value, &path) {
+                Some(value) => {
+                    if let Some(record) = read_rack(value, &path) {
                         self.put_rack(n, Some(record), stamp, now);
                     }
                 }
@@ -481,6 +484,11 @@
                     (Some(_), 0) => read(value, &path).map(|r| JobEntry::Record(Box::new(r))),
                     (Some(_), n) => read(value, &path).map(|r| JobEntry::Chunk(n, r)),
                 };
+                let unreadable = entry.is_none() && value.is_some() && chunk == 0;
+                let entry = match unreadable {
+                    true => Some(JobEntry::Unreadable),
+                    false => entry,
+                };
                 let Some(entry) = entry else { return };
                 if self.wrote_since(&id, stamp) {
                     self.tell_parts(&id, &entry, stamp, now);
@@ -492,6 +500,10 @@
                         self.view.own.remove(&id);
                     }
                     JobEntry::Packed(_) => {}
+                    JobEntry::Unreadable => {
+                        self.view.own.insert(id.clone());
+                        self.view.jobs.entry(id.clone()).or_insert(0);
+                    }
                     JobEntry::Record(record) => {
                         self.view.own.insert(id.clone());
                         let mut done = TaskSet::new();
@@ -508,7 +520,7 @@
             Key::Pack(n) => {
                 let record: Option<PackRecord> = match value {
                     None => None,
-                    Some(_) => match read(value, &path) {
+                    Some(value) => match read_pack(value, &path) {
                         Some(record) => Some(record),
                         None => return,
                     },
@@ -541,6 +553,11 @@
 
     /// A pack as stored, or its end.
     fn put_pack(&mut self, n: u64, record: Option<PackRecord>, stamp: Stamp, now: Moment) {
+        let unreadable: Vec<JobId> = record.iter().flat_map(|r| r.unreadable_ids()).collect();
+        for id in unreadable {
+            self.view.jobs.entry(id.clone()).or_insert(0);
+            self.tell_parts(&id, &JobEntry::Unreadable, stamp, now);
+        }
         let (new, left) = self.view.packs.put(n, record, stamp);
         for record in new {
             let id = record.spec.id.clone();
@@ -656,9 +673,15 @@
             return;
         };
         for (id, record) in changed.held {
+            self.view.unreadable_machines.remove(&id);
             self.put_machine(&id, record, stamp, now);
         }
+        if let Some((rack, _)) = self.view.racks.get(n) {
+            let unreadable = rack.unreadable.keys().cloned();
+            self.view.unreadable_machines.extend(unreadable);
+        }
         for id in changed.gone {
+            self.view.unreadable_machines.remove(&id);
             self.view.machines.remove(&id);
             for owned in self.owned.values_mut() {
                 owned.ledger.drop_machine(&id);
@@ -766,6 +789,8 @@
     Packed(Box<JobRecord>),
     /// A continuation.
     Chunk(u32, ChunkRecord),
+    /// The live record, or the one in a pack, cannot be read.
+    Unreadable,
     /// The job is over.
     Gone,
 }
@@ -785,8 +810,11 @@
             JobEntry::Record(record) => self.ledger.put_job(record, stamp, old, now, config),
             JobEntry::Packed(record) => self.ledger.put_packed(record, stamp, old, now, config),
             JobEntry::Chunk(n, record) => self.ledger.put_chunk(id, *n, record, stamp, config),
+            JobEntry::Unreadable => self.ledger.block_job(id),
             JobEntry::Gone => {
-                if self.ledger.jobs.get(id).is_some_and(|j| j.stamp < stamp) {
+                let blocked = self.ledger.unreadable_jobs.contains(id);
+                let older = |j: &Job| j.stamp < stamp;
+                if blocked || self.ledger.jobs.get(id).is_some_and(older) {
                     self.ledger.drop_job(id);
                 }
             }
@@ -805,5 +833,39 @@
     }
 }
 
+/// Reads a stored pack; jobs in it that cannot be read are logged.
+pub fn read_pack(value: &cbor::Value, path: &str) -> Option<PackRecord> {
+    match PackRecord::from_value(value) {
+        Ok(pack) => {
+            for record in &pack.unreadable {
+                let id = pulleywood_wire::pack::job_id(record);
+                let name = id.map_or("one".to_owned(), |id| id.to_string());
+                log::error!("record {path}: job {name} cannot be read");
+            }
+            Some(pack)
+        }
+        Err(e) => {
+            log::error!("record {path} cannot be read: {e}");
+            None
+        }
+    }
+}
+
+/// Reads a stored rack; machines in it that cannot be read are logged.
+pub fn read_rack(value: &cbor::Value, path: &str) -> Option<RackRecord> {
+    match RackRecord::from_value(value) {
+        Ok(rack) => {
+            for id in rack.unreadable.keys() {
+                log::error!("record {path}: machine {id} cannot be read");
+            }
+            Some(rack)
+        }
+        Err(e) => {
+            log::error!("record {path} cannot be read: {e}");
+            None
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/pulleywood/src/node/tests.rs
+++ b/crates/pulleywood/src/node/tests.rs
@@ -143,6 +143,7 @@
         ledger.put_machine(&id, record(0), Stamp(read), true, at(10));
         let rack = RackRecord {
             machines: BTreeMap::from([(id.clone(), record(1))]),
+            ..Default::default()
         };
         node.put_racks(vec![(1, Some(rack))], Stamp(watched), at(11));
         let ledger = &node.owned[&PartId(0)].ledger;
@@ -209,6 +210,7 @@
         let (mine, next) = (PackHead { last: 1 }, PackHead { last: 2 });
         let pack = PackRecord {
             jobs: vec![record(2)],
+            ..Default::default()
         };
         let say = |node: &mut Node| {
             node.wrote_pack(mine, pack.clone(), Stamp(60), at(12));
@@ -254,6 +256,7 @@
         let pack_key = pulleywood_wire::record::pack_key(1);
         let pack = PackRecord {
             jobs: vec![job.clone()],
+            ..Default::default()
         };
         if packed {
             node.wrote_pack(PackHead { last: 1 }, pack.clone(), Stamp(50), at(11));
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -1,14 +1,12 @@
 //! Parts: taken, rebuilt and handed back. What makes this controller an owner.
 
 use crate::clock::time_of_day_ms;
-use crate::node::{JobEntry, Node, Owned, Shared, read};
+use crate::node::{JobEntry, Node, Owned, Shared, read, read_pack, read_rack};
 use crate::pace;
 use pulleywood_core::reach::{self, Reach};
 use pulleywood_core::{PartLedger, grants};
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError, cloud};
-use pulleywood_wire::pack::PackRecord;
-use pulleywood_wire::rack::RackRecord;
 use pulleywood_wire::record::{
     Holder, JOBS, Key, LAYOUT, LastHolder, Layout, PACKS, RACK, TERM, TermRecord, grant_key,
     last_key, part_key,
@@ -369,10 +367,11 @@
             return Ok(());
         };
         for item in &racks.0 {
-            let (Some(Key::Rack(n)), Some(rack)) = (
-                Key::parse(&item.path),
-                read::<RackRecord>(Some(&item.value), &item.path),
-            ) else {
+            let Some(Key::Rack(n)) = Key::parse(&item.path) else {
+                continue;
+            };
+            let Some(rack) = read_rack(&item.value, &item.path) else {
+                owned.ledger.unreadable_machines = true;
                 continue;
             };
             // The watch may have brought a newer one while this was read.
@@ -380,6 +379,7 @@
                 Some((newer, stamp)) if *stamp > item.stamp => (newer.clone(), *stamp),
                 _ => (rack, item.stamp),
             };
+            owned.ledger.unreadable_machines |= !rack.unreadable.is_empty();
             for (id, record) in rack.machines.into_iter().filter(|(_, r)| r.part == part) {
                 if !record.endpoint.is_empty() {
                     to_greet.push((id.clone(), record.endpoint.clone()));
@@ -390,7 +390,10 @@
             }
         }
         for item in &packs.0 {
-            let pack: PackRecord = read(Some(&item.value), &item.path).unwrap_or_default();
+            let pack = read_pack(&item.value, &item.path).unwrap_or_default();
+            for id in pack.unreadable_ids() {
+                owned.job_event(&id, &JobEntry::Unreadable, item.stamp, true, now, &config);
+            }
             for record in pack.jobs {
                 let id = record.spec.id.clone();
                 let entry = JobEntry::Packed(Box::new(record));
@@ -429,7 +432,10 @@
     };
     let value = Some(&item.value);
     let entry = match chunk {
-        0 => JobEntry::Record(Box::new(read(value, &item.path)?)),
+        0 => match read(value, &item.path) {
+            Some(record) => JobEntry::Record(Box::new(record)),
+            None => JobEntry::Unreadable,
+        },
         n => JobEntry::Chunk(n, read(value, &item.path)?),
     };
     Some((id, entry))
--- a/crates/pulleywood/src/workers.rs
+++ b/crates/pulleywood/src/workers.rs
@@ -91,6 +91,7 @@
                 _ => Route::Nobody,
             }
         }
+        None if node.view.unreadable_machines.contains(&report.machine) => Route::Nobody,
         // A machine nobody knows goes to the part that its name falls on, so
         // that many at once do not all wait for one controller's tokens; or to
         // whichever owner hears it. No owner launches before the record is
