Read a machine list of any length, as far as the cloud's rate allows

Cause, found by walking through what grows with machines: the list was read in one go and given up when tokens ran out, each time from the first page. A burst at two requests a second holds three pages, so beyond some 1,500 machines the coordinator never had a list: nothing failed was released, nothing that never came up was replaced.

Change: a listing is kept over rounds and goes on where it ended. A worker that shows a term beyond what attempts can be named after is not taken in, since adopting it would have raised the counter there and stopped all launches. Racks are read leniently where a let-go machine is fenced as well.

The guard on terms has no test of its own yet.

--- a/crates/pulleywood-net/src/cloud.rs
+++ b/crates/pulleywood-net/src/cloud.rs
@@ -37,6 +37,15 @@
 }
 
 const CALL_TIME: Duration = Duration::from_secs(5);
+/// Machines that a page of the list holds at the most.
+const LIST_PAGE: usize = 500;
+
+/// A machine list that is being read, page by page.
+#[derive(Debug, Default)]
+pub struct Listing {
+    machines: Vec<Rental>,
+    pages: usize,
+}
 
 impl CloudClient {
     /// A client of the cloud at `addr`: `own` for this controller's calls,
@@ -103,27 +112,30 @@
             .map(|_| ())
     }
 
-    /// The machine list, which lags.
-    pub fn rentals(&self) -> Result<Vec<Rental>, CloudError> {
-        let mut all: Vec<Rental> = Vec::new();
+    /// Reads the machine list, which lags, as far as there are tokens; the list
+    /// once it is complete. Read in one go, a list of more pages than a burst of
+    /// requests holds was never read at all.
+    pub fn rentals(&self, listing: &mut Listing) -> Result<Option<Vec<Rental>>, CloudError> {
+        let begun = listing.pages;
         loop {
-            let from = all
+            let from = listing
+                .machines
                 .last()
                 .map(|r| format!("from={}&", r.machine))
                 .unwrap_or_default();
-            let answer = self.send(
-                "GET",
-                &format!("/rentals?{from}page=500"),
-                None,
-                &self.office,
-                Class::User,
-            )?;
+            let path = format!("/rentals?{from}page={LIST_PAGE}");
+            let answer = match self.send("GET", &path, None, &self.office, Class::User) {
+                // The rest follows when there are tokens again.
+                Err(CloudError::Budget) if listing.pages > begun => return Ok(None),
+                answer => answer?,
+            };
             let page: RentalPage =
                 cbor::decode(&answer.body).map_err(|e| CloudError::Unknown(e.to_string()))?;
             let empty = page.horses.is_empty();
-            all.extend(page.horses);
+            listing.pages += 1;
+            listing.machines.extend(page.horses);
             if !page.more || empty {
-                return Ok(all);
+                return Ok(Some(std::mem::take(listing).machines));
             }
         }
     }
@@ -133,6 +145,20 @@
     body.windows(text.len()).any(|w| w == text.as_bytes())
 }
 
+/// Asks a worker for its report, which neither renews its lease nor commands it.
+pub fn show(addr: SocketAddr, time: Duration) -> Result<Report, Failure> {
+    let client = Client::new(addr, 0);
+    let answer = client.call("GET", "/show", None, time)?;
+    match answer.status {
+        200 => cbor::decode(&answer.body).map_err(|e| unreadable(e.to_string())),
+        status => Err(unreadable(format!("status {status}"))),
+    }
+}
+
+fn unreadable(text: String) -> Failure {
+    Failure::Unknown(std::io::Error::new(std::io::ErrorKind::InvalidData, text))
+}
+
 /// Sends direct orders to a worker; its report comes back whether it took
 /// them (`true`) or not.
 pub fn direct(
@@ -150,8 +176,6 @@
     );
     let client = Client::new(addr, 0);
     let answer = client.call("POST", "/do", Some(&cbor::encode(direct)), time)?;
-    let unreadable =
-        |text: String| Failure::Unknown(std::io::Error::new(std::io::ErrorKind::InvalidData, text));
     match answer.status {
         200 | 409 => cbor::decode(&answer.body)
             .map(|report| (answer.status == 200, report))
--- a/crates/pulleywood-wire/src/ids.rs
+++ b/crates/pulleywood-wire/src/ids.rs
@@ -78,6 +78,12 @@
 /// How many attempts one term can name. A term's counter stays below this.
 const ATTEMPTS_PER_TERM: u64 = 1 << 21;
 
+impl Term {
+    /// The last term that attempts can be named after. A worker that shows this
+    /// or a higher one is wrong: the counter never comes so far.
+    pub const LAST: Term = Term((1 << 32) - 1);
+}
+
 impl Attempt {
     /// Packs a term and that term's counter into one integer below 2^53, so
     /// that attempts are unique over owners without a write.
@@ -85,7 +91,7 @@
     /// Returns nothing when the term has used up its attempts: the owner then
     /// needs a new term rather than a name that was used before.
     pub fn pack(term: Term, counter: u64) -> Option<Attempt> {
-        (counter < ATTEMPTS_PER_TERM && term.0 < (1 << 32))
+        (counter < ATTEMPTS_PER_TERM && term <= Term::LAST)
             .then_some(Attempt(term.0 * ATTEMPTS_PER_TERM + counter))
     }
 
--- a/crates/pulleywood/src/adopt.rs
+++ b/crates/pulleywood/src/adopt.rs
@@ -36,6 +36,16 @@
 
 /// Has a machine adopted by a part held here; whether its record is stored.
 pub fn join(shared: &Shared, report: &Report, part: PartId) -> bool {
+    // Adopted above this term, it would raise the counter beyond what attempts
+    // can be named after, and nothing could be launched any more.
+    if report.term >= Term::LAST {
+        log::error!(
+            "{} shows term {}: not taken in",
+            report.machine,
+            report.term
+        );
+        return false;
+    }
     let record = MachineRecord {
         part,
         term: Term(0),
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -6,7 +6,7 @@
 use pulleywood_core::Config;
 use pulleywood_core::fleet::{self, Action, Kind, Memory, Seen};
 use pulleywood_core::grants::{self, Need, Step};
-use pulleywood_net::cloud::CloudError;
+use pulleywood_net::cloud::{CloudError, Listing};
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::cloud::{Hire, Rental};
@@ -34,6 +34,8 @@
     pending: Vec<Hire>,
     memory: Memory,
     list: Vec<Rental>,
+    /// The next list, as far as it was read.
+    listing: Listing,
     listed_at: Option<Moment>,
     /// Machines released lately: lists still show them for a while.
     released: HashMap<MachineId, Moment>,
@@ -53,6 +55,7 @@
             pending,
             memory: Memory::default(),
             list: Vec::new(),
+            listing: Listing::default(),
             listed_at: None,
             released: HashMap::new(),
         }
@@ -299,11 +302,12 @@
     let lag = secs(shared.settings.cluster.cloud.list_lag_s);
     let every = lag.max(Duration::from_secs(3));
     if office.listed_at.is_none_or(|at| now.since(at) >= every) {
-        match shared.cloud.rentals() {
-            Ok(list) => {
+        match shared.cloud.rentals(&mut office.listing) {
+            Ok(Some(list)) => {
                 office.list = list;
                 office.listed_at = Some(now);
             }
+            Ok(None) => log::debug!("machine list: the rest follows"),
             Err(e) => log::debug!("machine list: {e}"),
         }
         let keep = lag * 3 + Duration::from_secs(60);
--- a/crates/pulleywood/src/errands.rs
+++ b/crates/pulleywood/src/errands.rs
@@ -1,12 +1,11 @@
 //! What the coordinator asks of an owner: waiting tasks lent, machines let go.
 
-use crate::node::{Owned, Shared, read};
+use crate::node::{Owned, Shared, read_rack};
 use crate::owner::newest_term;
 use pulleywood_core::lend::Offer;
 use pulleywood_net::state::Outcome;
 use pulleywood_net::{Class, StateError};
 use pulleywood_wire::peer::Demand;
-use pulleywood_wire::rack::RackRecord;
 use pulleywood_wire::record::{MachineRecord, TERM, TermRecord, job_key, part_key, rack_key};
 use pulleywood_wire::state::Commit;
 use pulleywood_wire::{MachineId, PartId, Stamp, Term};
@@ -239,7 +238,7 @@
         let Some(item) = item else {
             return;
         };
-        let Some(rack) = read::<RackRecord>(Some(&item.value), &key) else {
+        let Some(rack) = read_rack(&item.value, &key) else {
             return;
         };
         let ours = |r: &MachineRecord| r.part == part && !r.retiring;
