--- a/crates/pulleywood-core/src/ledger.rs
+++ b/crates/pulleywood-core/src/ledger.rs
@@ -14,6 +14,7 @@
 use crate::health::{Health, News};
 use crate::lend::bindings;
 use crate::machine::{Machine, Slot, SlotState};
+use crate::resumption::Resumption;
 use crate::room::{Room, add};
 use crate::types::Choices;
 use pulleywood_wire::cbor::Amount;
@@ -189,6 +190,8 @@
     pub zones: Vec<String>,
     /// What machine types work had to choose from lately, here and elsewhere.
     pub choices: Choices,
+    /// When its workers were answered again, if stops are to wait for that.
+    pub resumption: Resumption,
     /// While the shard recovers: image fetches of lower ranks yield to services'.
     pub fetch_gate: Option<FetchGate>,
     /// What to add to a time of day in milliseconds for this process's time.
@@ -220,6 +223,7 @@
             elsewhere: BTreeMap::new(),
             zones,
             choices: Choices::default(),
+            resumption: Resumption::default(),
             fetch_gate: None,
             day_offset_ms: 0,
             plan: BTreeMap::new(),
@@ -532,6 +536,7 @@
         if newest <= machine.newest {
             return Taken::Stale;
         }
+        self.resumption.heard(now, config);
         if report.term > machine.term(self.term) {
             return Taken::Superseded;
         }
--- a/crates/pulleywood-core/src/lib.rs
+++ b/crates/pulleywood-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod machine;
 pub mod place;
 pub mod reach;
+pub mod resumption;
 pub mod room;
 pub mod snapshot;
 pub mod types;
--- a/crates/pulleywood-core/src/place.rs
+++ b/crates/pulleywood-core/src/place.rs
@@ -775,6 +775,9 @@
         let spec = &job.spec;
         let need = Room::of_task(spec);
         let mut zones = BTreeSet::new();
+        if self.room_may_return(spec) {
+            return zones;
+        }
         for site in &self.sites {
             if zones.contains(site.zone)
                 || site.delay(spec) > 0.0
@@ -807,6 +810,14 @@
             || self.holders.iter().any(|team| claim.beyond.contains(team))
     }
 
+    /// Right after this owner could answer workers again, machines are missing
+    /// whose next reports are to come: nothing is stopped for what may find room
+    /// there. After an outage the first machine heard had its tasks stopped for
+    /// work that fitted on others, which reported a second later.
+    fn room_may_return(&self, spec: &JobSpec) -> bool {
+        self.ledger.returning_room(spec, self.now, self.config)
+    }
+
     /// What a job's next task may have stopped for it.
     fn claim(&self, spec: &JobSpec, used: &BTreeMap<String, Slots>) -> Claim<'a> {
         let mut mine = self.ledger.everywhere(&spec.team, used);
@@ -843,7 +854,7 @@
         }
         let mut used = self.used.clone();
         let mut claim = self.claim(spec, &used);
-        let stops = self.may_stop(spec, &claim);
+        let stops = self.may_stop(spec, &claim) && !self.room_may_return(spec);
         let avoid = self.left_to_others(spec);
         // What yields on a machine that others alone can use is worth waiting some
         // reports for: room of other types is lent, or on its way.
--- /dev/null
+++ b/crates/pulleywood-core/src/resumption.rs
@@ -0,0 +1,83 @@
+//! The moments after an owner could answer its workers again, when most of them
+//! are still to be heard.
+
+use crate::config::Config;
+use crate::ledger::PartLedger;
+use crate::machine::Machine;
+use crate::room::Room;
+use pulleywood_wire::{JobSpec, Moment};
+use std::time::Duration;
+
+/// When reports came again after none had come from any machine for a while.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// Stops wait for it; if not, nothing follows from it.
+    pub stops_wait: bool,
+    last: Option<Moment>,
+    since: Option<Moment>,
+}
+
+/// A worker that got no answer tries the next controller after this long.
+const NEXT_TRY: Duration = Duration::from_secs(1);
+
+impl Resumption {
+    /// A report came.
+    pub(crate) fn heard(&mut self, now: Moment, config: &Config) {
+        let silence = config.report * 2;
+        if self.last.is_none_or(|at| now.since(at) > silence) {
+            self.since = Some(now);
+        }
+        self.last = Some(now);
+    }
+
+    /// Machines that are well may not have been heard twice since: the first
+    /// report shows what they run, the next one that answers reach them.
+    fn is_recent(&self, now: Moment, config: &Config) -> bool {
+        let window = config.report.mul_f64(2.5) + NEXT_TRY;
+        self.since.is_some_and(|at| now.since(at) < window)
+    }
+}
+
+/// Where more than one machine in so many missed its last answer, the answers
+/// did not come, rather than the machines hear none.
+const MISSED_SHARE: usize = 4;
+
+impl PartLedger {
+    /// Whether a task of a job may find room on a machine that no plan looks at
+    /// yet, since its owner could not answer for a while.
+    pub(crate) fn returning_room(&self, spec: &JobSpec, now: Moment, config: &Config) -> bool {
+        if !self.resumption.stops_wait {
+            return false;
+        }
+        let recent = self.resumption.is_recent(now, config);
+        let missed = |m: &&Machine| m.deaf_since.is_some() && !m.is_deaf(now, config);
+        let many = self.machines.values().filter(missed).count() * MISSED_SHARE;
+        if !recent && many <= self.machines.len() {
+            return false;
+        }
+        let fresh = config.report.mul_f64(3.0) + NEXT_TRY;
+        let missing = |m: &Machine| {
+            let heard = m.heard.is_some_and(|at| now.since(at) < fresh);
+            missed(&m) || recent && !(m.confirmed && heard)
+        };
+        let mut machines = self.machines.values();
+        machines.any(|m| missing(m) && has_room(m, spec, now, config))
+    }
+}
+
+/// The machine could take one more task, as far as is known.
+fn has_room(machine: &Machine, spec: &JobSpec, now: Moment, config: &Config) -> bool {
+    let record = &machine.record;
+    let Some(flavor) = config.flavors.get(&record.flavor) else {
+        return false;
+    };
+    let stays = !(machine.leaving || machine.unfit || machine.drains(now));
+    stays
+        && machine.taken_at.is_none()
+        && config.flavor_fits(spec, flavor)
+        && (spec.spot || !record.spot)
+        && spec.zone.as_ref().is_none_or(|z| *z == record.zone)
+        && machine
+            .free(Room::of_flavor(flavor))
+            .fits(&Room::of_task(spec))
+}
--- a/crates/pulleywood-core/tests/recovering.rs
+++ b/crates/pulleywood-core/tests/recovering.rs
@@ -5,7 +5,7 @@
 use common::{Bench, at, launches, spec, state, task};
 use pulleywood_core::fetch_gate::FetchGate;
 use pulleywood_wire::cbor::Amount;
-use pulleywood_wire::worker::TaskState;
+use pulleywood_wire::worker::{Order, TaskState};
 use pulleywood_wire::{Attempt, Rank, Shape};
 use std::collections::BTreeMap;
 
@@ -74,6 +74,51 @@
     }
 }
 
+#[test]
+fn stops_wait_while_machines_that_may_have_room_are_about_to_report() {
+    // (stops wait, seconds from the first report to the plan, machine 1 has room,
+    // seconds for which no report had come; a task of the array is stopped)
+    let cases: [(bool, f64, bool, f64, bool); 5] = [
+        (false, 0.5, true, 9.0, true),
+        (true, 0.5, true, 9.0, false),
+        (true, 0.5, false, 9.0, true),
+        (true, 3.6, true, 9.0, true),
+        (true, 0.5, true, 1.0, true),
+    ];
+    for (waits, s, room, silence, stopped) in cases {
+        let mut b = Bench::new(&["a", "a"]);
+        b.ledger.resumption.stops_wait = waits;
+        let tasks = if room { 4 } else { 8 };
+        b.submit(spec(1, tasks), false);
+        let mut shown = Vec::new();
+        for m in 0..2 {
+            let report = b.report(m, 1, vec![]);
+            let orders = launches(&b.turn(&report, 0.0));
+            let running = orders.iter().map(|(t, a)| state(t, *a, TaskState::Running));
+            shown.push(running.collect::<Vec<_>>());
+        }
+        for n in 1..=5 {
+            let again = b.report(0, 1 + n, shown[0].clone());
+            b.turn(&again, n as f64);
+        }
+        let mut service = spec(2, 1);
+        (service.shape, service.rank) = (Shape::Service, Rank::Production);
+        b.submit(service, false);
+        // Machine 0 is heard first, twice; machine 1 not yet.
+        let first = b.report(0, 7, shown[0].clone());
+        b.turn(&first, 5.0 + silence);
+        let mut halts = 0;
+        for n in 1..=s.ceil() as u64 {
+            b.ledger.disturb();
+            let next = b.report(0, 7 + n, shown[0].clone());
+            let orders = b.turn(&next, 5.0 + silence + s.min(n as f64));
+            let halted = orders.iter().filter(|o| matches!(o, Order::Halt { .. }));
+            halts += halted.count();
+        }
+        assert_eq!(halts > 0, stopped, "{waits} {s} {room} {silence}");
+    }
+}
+
 #[test]
 fn no_more_images_than_the_bound_are_fetched_for_lower_ranks_in_a_zone() {
     // (image of so many GB, fetches left, tasks launched on four machines)
--- /dev/null
+++ b/crates/pulleywood-standins/examples/cold_starts.rs
@@ -0,0 +1,97 @@
+//! Plays cold starts in virtual time: thousands of random ones to find broken
+//! rules, or some of given sizes to measure.
+//!
+//!     cold_starts random FIRST COUNT
+//!     cold_starts measure SEEDS MACHINES...
+
+use pulleywood_recovery::RecoveryPolicy;
+use pulleywood_standins::virtual_cluster::{Outcome, Plan, VirtualCluster};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+fn number(text: &str) -> u64 {
+    text.parse()
+        .unwrap_or_else(|_| panic!("{text}: not a number"))
+}
+
+fn random(first: u64, count: u64) -> ExitCode {
+    let next = AtomicU64::new(first);
+    let broken = AtomicU64::new(0);
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= first + count {
+                        return;
+                    }
+                    let plan = Plan {
+                        seed,
+                        machines: 4 + seed as usize % 37,
+                        controllers: 1 + seed as usize % 4,
+                        recovery: seed.is_multiple_of(2).then(RecoveryPolicy::default),
+                        dying: 0.1,
+                        troubles: true,
+                    };
+                    let outcome = VirtualCluster::new(plan).play();
+                    if !outcome.violations.is_empty() || outcome.audit_findings > 0 {
+                        broken.fetch_add(1, Ordering::Relaxed);
+                        println!("seed {seed}: {:?}", outcome.violations);
+                    }
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner();
+    println!("{count} cold starts, {broken} with violations");
+    ExitCode::from(u8::from(broken > 0))
+}
+
+fn measure(seeds: u64, sizes: &[usize]) -> ExitCode {
+    println!(
+        "machines controllers recovery seed orders least requests intervals replicas_lost violations"
+    );
+    for &machines in sizes {
+        for controllers in [1, 7] {
+            for recovery in [false, true] {
+                for seed in 0..seeds {
+                    let plan = Plan {
+                        seed,
+                        machines,
+                        controllers,
+                        recovery: recovery.then(RecoveryPolicy::default),
+                        dying: 0.05,
+                        troubles: false,
+                    };
+                    let o: Outcome = VirtualCluster::new(plan).play();
+                    let intervals = o.intervals_to_services.map_or(-1, |n| n as i64);
+                    println!(
+                        "{machines} {controllers} {recovery} {seed} {} {} {} {intervals} {} {}",
+                        o.orders,
+                        o.least_orders,
+                        o.store_requests,
+                        o.replicas_lost,
+                        o.violations.len()
+                    );
+                }
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        ["random", first, count] => random(number(first), number(count)),
+        ["measure", seeds, ref sizes @ ..] => {
+            let sizes: Vec<usize> = sizes.iter().map(|s| number(s) as usize).collect();
+            measure(number(seeds), &sizes)
+        }
+        _ => {
+            eprintln!("cold_starts random FIRST COUNT | cold_starts measure SEEDS MACHINES...");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/pulleywood-standins/src/lib.rs
+++ b/crates/pulleywood-standins/src/lib.rs
@@ -5,8 +5,10 @@
 //! records what must never happen.
 
 pub mod cloud;
+pub mod history;
 pub mod relay;
 pub mod state;
+pub mod virtual_cluster;
 pub mod worker;
 pub mod world;
 
--- a/crates/pulleywood-standins/src/state.rs
+++ b/crates/pulleywood-standins/src/state.rs
@@ -49,6 +49,10 @@
     log: Vec<Event>,
 }
 
+/// All keys as they were at some moment.
+#[derive(Debug, Clone)]
+pub struct Backup(BTreeMap<String, Entry>);
+
 /// The service; controllers reach it through fronts of their own.
 #[derive(Debug, Clone, Default)]
 pub struct StateService {
@@ -116,6 +120,32 @@
         self.shared.writes.load(Ordering::Relaxed)
     }
 
+    /// A copy of all keys, as a backup is.
+    pub fn backup(&self) -> Backup {
+        Backup(self.shared.store.lock().keys.clone())
+    }
+
+    /// Everything is as it was when the copy was made, leases aside: they are
+    /// gone with the keys attached to them. Nobody is told of a change.
+    pub fn restore(&self, backup: &Backup) {
+        let mut store = self.shared.store.lock();
+        store.keys = backup.0.clone();
+        store.keys.retain(|_, entry| entry.permit.is_none());
+        store.leases.clear();
+    }
+
+    /// Writes a key without telling any watch, as if its event had been lost.
+    pub fn put_unseen<T: Serialize>(&self, key: &str, value: &T) {
+        let mut store = self.shared.store.lock();
+        store.ledger += 1;
+        let entry = Entry {
+            value: cbor::to_value(value),
+            stamp: Stamp(store.ledger),
+            permit: None,
+        };
+        store.keys.insert(key.to_owned(), entry);
+    }
+
     /// All values below a prefix, for checks.
     pub fn values(&self, prefix: &str) -> Vec<Value> {
         let store = self.shared.store.lock();
--- /dev/null
+++ b/crates/pulleywood-standins/src/virtual_cluster/controller.rs
@@ -0,0 +1,450 @@
+//! A controller in virtual time: the real shard state and recovery decisions,
+//! driven as the daemon drives them.
+
+use super::store::Store;
+use super::worker::{Answer, Worker};
+use pulleywood_core::{Config, PartLedger};
+use pulleywood_recovery::RecoveryPolicy;
+use pulleywood_recovery::audit::{Audit, Holdings};
+use pulleywood_recovery::gate::gate;
+use pulleywood_recovery::progress::{Phase, Progress};
+use pulleywood_wire::pack::Packs;
+use pulleywood_wire::rack::RackRecord;
+use pulleywood_wire::record::{
+    Holder, JOBS, JobRecord, Key, LastHolder, RACK, TERM, TermRecord, last_key, part_key,
+};
+use pulleywood_wire::state::{Commit, Item};
+use pulleywood_wire::time::{secs, surely_within};
+use pulleywood_wire::worker::{Report, ReportAnswer};
+use pulleywood_wire::{JobId, MachineId, MemberId, Moment, PartId, Shape, Stamp, Term, cbor};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Nothing is launched on an older view.
+const LAUNCH_VIEW: Duration = Duration::from_secs(3);
+/// A shard without an owner waits this long for its preferred one.
+const GRACE: Duration = Duration::from_millis(800);
+/// Done batches and phases are looked at so often.
+const ROUND: Duration = Duration::from_millis(500);
+/// Machines told a new term in a step.
+const ANNOUNCED: usize = 40;
+
+struct Held {
+    ledger: PartLedger,
+    stamp: Stamp,
+    settled: bool,
+    to_announce: Vec<MachineId>,
+}
+
+/// One controller.
+pub struct Controller {
+    n: usize,
+    /// When its process starts; none: it runs or stays down.
+    pub up_at: Option<Moment>,
+    /// When its process ends, to start again two seconds later.
+    pub ends_at: Option<Moment>,
+    up: bool,
+    boot: u64,
+    contact: Moment,
+    revision: u64,
+    held: BTreeMap<PartId, Held>,
+    free_since: BTreeMap<PartId, Moment>,
+    jobs: BTreeSet<JobId>,
+    machines: BTreeSet<MachineId>,
+    rounds: Moment,
+    progress: Progress,
+    audit: Audit,
+    audited: Moment,
+    /// The recovery subsystem, if it is on.
+    pub recovery: Option<RecoveryPolicy>,
+    /// What the audit found since this was last taken.
+    pub findings: usize,
+}
+
+impl Controller {
+    /// One that is down.
+    pub fn new(n: usize) -> Controller {
+        Controller {
+            n,
+            up_at: None,
+            ends_at: None,
+            up: false,
+            boot: 0,
+            contact: Moment(0),
+            revision: 0,
+            held: BTreeMap::new(),
+            free_since: BTreeMap::new(),
+            jobs: BTreeSet::new(),
+            machines: BTreeSet::new(),
+            rounds: Moment(0),
+            progress: Progress::default(),
+            audit: Audit::default(),
+            audited: Moment(0),
+            recovery: None,
+            findings: 0,
+        }
+    }
+
+    /// Its process ends.
+    pub fn end(&mut self) {
+        let next = Controller::new(self.n);
+        let (boot, ends_at, recovery) = (self.boot, self.ends_at, self.recovery.take());
+        *self = next;
+        self.recovery = recovery;
+        self.boot = boot;
+        self.ends_at = ends_at;
+    }
+
+    fn name(&self) -> MemberId {
+        MemberId::from(format!("c-{}", self.n).as_str())
+    }
+
+    /// Shards whose recovery is complete.
+    pub fn complete_shards(&self) -> usize {
+        let held = self.held.iter();
+        held.filter(|(shard, h)| self.progress.is_complete(**shard, h.ledger.term))
+            .count()
+    }
+
+    fn may_act(&self, now: Moment, config: &Config) -> bool {
+        let lease = surely_within(secs(config.policy.part_lease_s));
+        self.up && now < self.contact + lease
+    }
+
+    /// Whether it answers workers of a shard.
+    pub fn serves(&self, shard: PartId, now: Moment, config: &Config) -> bool {
+        let answers = self.up && now < self.contact + config.answer_span();
+        answers && self.held.contains_key(&shard)
+    }
+
+    /// One step: lease, watch, shards, batches, recovery.
+    pub fn step(&mut self, store: &mut Store, config: &Config, now: Moment) {
+        if self.ends_at.is_some_and(|at| now >= at) {
+            self.end();
+            self.ends_at = None;
+            self.up_at = Some(now + Duration::from_secs(2));
+        }
+        if self.up_at.is_some_and(|at| now >= at) && store.answers(now) {
+            self.start(store, now);
+        }
+        if !self.up {
+            return;
+        }
+        if store.answers(now) {
+            let lease = secs(config.policy.part_lease_s);
+            // A controller whose lease ran out while it was away has lost all.
+            self.held.retain(|shard, held| {
+                let item = store.peek(&part_key(*shard));
+                item.is_some_and(|i| i.stamp == held.stamp)
+            });
+            store.renew(self.n, now + lease);
+            self.contact = now;
+            self.watch(store, config, now);
+            self.take_shards(store, config, now);
+        }
+        for held in self.held.values_mut() {
+            held.ledger.tick(now, config);
+        }
+        if now.since(self.rounds) >= ROUND && self.may_act(now, config) && store.answers(now) {
+            self.rounds = now;
+            self.flush(store, config, now);
+            self.settle(store);
+            if let Some(policy) = self.recovery.clone() {
+                self.recover(&policy, store, config, now);
+            }
+        }
+    }
+
+    fn start(&mut self, store: &mut Store, now: Moment) {
+        self.up_at = None;
+        self.up = true;
+        self.boot += 1;
+        self.contact = now;
+        self.revision = 0;
+        // The former process is dead: its leases need not be waited out.
+        store.end_leases(self.n);
+    }
+
+    /// Brings what changed since the last look.
+    fn watch(&mut self, store: &mut Store, config: &Config, now: Moment) {
+        let from = store.log.partition_point(|(at, _)| *at <= self.revision);
+        if from == store.log.len() {
+            return;
+        }
+        store.requests += 1;
+        let changed: BTreeSet<String> = store.log[from..].iter().map(|(_, k)| k.clone()).collect();
+        self.revision = store.revision;
+        for key in changed {
+            match (Key::parse(&key), store.peek(&key)) {
+                (Some(Key::Job(_, id, 0)), Some(item)) => {
+                    self.jobs.insert(id);
+                    let Ok(record) = cbor::from_value::<JobRecord>(&item.value) else {
+                        continue;
+                    };
+                    for held in self.held.values_mut() {
+                        held.ledger.put_job(&record, item.stamp, false, now, config);
+                    }
+                }
+                (Some(Key::Job(_, id, 0)), None) => {
+                    self.jobs.remove(&id);
+                    for held in self.held.values_mut() {
+                        held.ledger.drop_job(&id);
+                    }
+                }
+                (Some(Key::Rack(_)), Some(item)) => {
+                    let batch = RackRecord::from_value(&item.value).unwrap_or_default();
+                    self.machines.extend(batch.machines.into_keys());
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn take_shards(&mut self, store: &mut Store, config: &Config, now: Moment) {
+        for shard in (0..config.parts).map(PartId) {
+            if store.peek(&part_key(shard)).is_some() {
+                self.free_since.remove(&shard);
+                continue;
+            }
+            let since = *self.free_since.entry(shard).or_insert(now);
+            let preferred = shard.0 as usize == self.n;
+            if preferred || now.since(since) > GRACE * (1 + self.n as u32) {
+                self.take(shard, store, config, now);
+            }
+        }
+    }
+
+    fn take(&mut self, shard: PartId, store: &mut Store, config: &Config, now: Moment) {
+        let counter = store.get(TERM);
+        let Some(counter) = counter else { return };
+        let last_term = cbor::from_value::<TermRecord>(&counter.value).map_or(Term(0), |r| r.last);
+        let last = store.get(&last_key(shard));
+        let former: Option<LastHolder> =
+            last.as_ref().and_then(|i| cbor::from_value(&i.value).ok());
+        let term = Term(last_term.0 + 1);
+        let holder = Holder {
+            member: self.name(),
+            boot: self.boot,
+            term,
+        };
+        let record = LastHolder {
+            holder: holder.clone(),
+            settled: former.is_none(),
+        };
+        let commit = Commit::default()
+            .when(part_key(shard), Stamp(0))
+            .when(TERM, counter.stamp)
+            .when(last_key(shard), last.map_or(Stamp(0), |i| i.stamp))
+            .write(TERM, &TermRecord { last: term })
+            .write(part_key(shard), &holder)
+            .write(last_key(shard), &record);
+        let Some(stamp) = store.commit(&commit) else {
+            return;
+        };
+        let until = now + secs(config.policy.part_lease_s);
+        store.hold(part_key(shard), self.n, until);
+        let silent_until = match &former {
+            None => now,
+            Some(l) if l.settled && l.holder.member == self.name() => now + config.surely_lapsed(),
+            Some(_) => now + config.silent_span(),
+        };
+        let mut ledger = PartLedger::new(shard, term, silent_until, config.zones.clone());
+        ledger.resumption.stops_wait = self.recovery.is_some();
+        let mut held = Held {
+            ledger,
+            stamp,
+            settled: former.is_none(),
+            to_announce: Vec::new(),
+        };
+        load(&mut held, store, config, now);
+        self.held.insert(shard, held);
+    }
+
+    /// Sends machines that were not heard the new term, some at a time.
+    pub fn announce(&mut self, workers: &mut [Worker], config: &Config, now: Moment) {
+        if !self.may_act(now, config) {
+            return;
+        }
+        for held in self.held.values_mut() {
+            for _ in 0..ANNOUNCED {
+                let Some(id) = held.to_announce.pop() else {
+                    break;
+                };
+                let Some(machine) = held.ledger.machines.get(&id).filter(|m| !m.confirmed) else {
+                    continue;
+                };
+                let term = machine.term(held.ledger.term);
+                // Names are numbers in order.
+                let n: usize = id.0[3..].parse().unwrap_or(usize::MAX);
+                if let Some(reply) = workers.get_mut(n).and_then(|w| w.direct(term, now)) {
+                    held.ledger.report(&reply, true, now, config);
+                }
+            }
+        }
+    }
+
+    /// Answers a report.
+    pub fn answer(
+        &mut self,
+        shard: PartId,
+        report: &Report,
+        now: Moment,
+        config: &Config,
+    ) -> Option<Answer> {
+        let launch = self.may_act(now, config) && now.since(self.contact) < LAUNCH_VIEW;
+        let held = self.held.get_mut(&shard)?;
+        let taken = held.ledger.report(report, false, now, config);
+        if taken != pulleywood_core::ledger::Taken::Fresh {
+            return None;
+        }
+        let orders = held.ledger.answer(&report.machine, launch, now, config);
+        let machine = held.ledger.machines.get(&report.machine)?;
+        let term = machine.term(held.ledger.term);
+        let jobs = held.ledger.jobs.iter();
+        let images = jobs.map(|(id, job)| {
+            let service = job.spec.shape == Shape::Service;
+            let image = job.spec.image.clone();
+            (id.clone(), (image, job.spec.image_gb.0, service))
+        });
+        let launched = orders
+            .iter()
+            .any(|o| matches!(o, pulleywood_wire::worker::Order::Launch { .. }));
+        Some(Answer {
+            images: match launched {
+                true => images.collect(),
+                false => BTreeMap::new(),
+            },
+            body: ReportAnswer { term, orders },
+        })
+    }
+
+    fn flush(&mut self, store: &mut Store, config: &Config, now: Moment) {
+        let packs = Packs::default();
+        for held in self.held.values_mut() {
+            while held.ledger.has_batch(now, config).is_some() {
+                let Some(batch) = held.ledger.batch(held.stamp, &packs, now, config) else {
+                    break;
+                };
+                let Some(stamp) = store.commit(&batch.commit) else {
+                    break;
+                };
+                held.ledger.batch_applied(&batch, stamp);
+                for job in batch.jobs.iter().filter(|j| j.over.is_some()) {
+                    held.ledger.drop_job(&job.id);
+                }
+            }
+        }
+    }
+
+    fn settle(&mut self, store: &mut Store) {
+        for (shard, held) in &mut self.held {
+            if held.settled || held.ledger.rebuilding() {
+                continue;
+            }
+            let Some(item) = store.get(&last_key(*shard)) else {
+                continue;
+            };
+            let Ok(last) = cbor::from_value::<LastHolder>(&item.value) else {
+                continue;
+            };
+            let record = LastHolder {
+                settled: true,
+                ..last
+            };
+            let commit = Commit::default()
+                .when(part_key(*shard), held.stamp)
+                .when(last_key(*shard), item.stamp)
+                .write(last_key(*shard), &record);
+            held.settled = store.commit(&commit).is_some();
+        }
+    }
+
+    fn recover(
+        &mut self,
+        policy: &RecoveryPolicy,
+        store: &mut Store,
+        config: &Config,
+        now: Moment,
+    ) {
+        for (shard, held) in &mut self.held {
+            let term = held.ledger.term;
+            if self.progress.is_complete(*shard, term) {
+                held.ledger.fetch_gate = None;
+                continue;
+            }
+            let snapshot = held.ledger.snapshot(config);
+            self.progress
+                .update(*shard, term, Phase::of(Some(&snapshot)), now);
+            let since = self.progress.recovering_since(*shard);
+            held.ledger.fetch_gate = since.and_then(|since| gate(policy, &snapshot, since, now));
+        }
+        if policy.slice() == 0 || now.since(self.audited) < policy.audit_every() {
+            return;
+        }
+        self.audited = now;
+        let mut audit = std::mem::take(&mut self.audit);
+        if let Some(next) = audit.next(self) {
+            let most = policy.slice() as usize;
+            let (items, more) = store.list(next.prefix, &next.after, most);
+            let revision = store.revision;
+            self.findings += audit.take(&items, more, revision, self).len();
+        }
+        self.audit = audit;
+    }
+}
+
+/// Reads a shard's machines and jobs; an earlier owner may have launched them.
+fn load(held: &mut Held, store: &mut Store, config: &Config, now: Moment) {
+    let shard = held.ledger.part;
+    let read_all = |store: &mut Store, prefix: &str| {
+        let mut all: Vec<Item> = Vec::new();
+        loop {
+            let after = all.last().map_or(String::new(), |i| i.path.clone());
+            let (items, more) = store.list(prefix, &after, 1000);
+            all.extend(items);
+            if !more {
+                return all;
+            }
+        }
+    };
+    for item in read_all(store, RACK) {
+        let batch = RackRecord::from_value(&item.value).unwrap_or_default();
+        for (id, record) in batch.machines {
+            if record.part == shard {
+                held.to_announce.push(id.clone());
+                held.ledger.put_machine(&id, record, item.stamp, true, now);
+            }
+        }
+    }
+    for item in read_all(store, JOBS) {
+        if let Ok(record) = cbor::from_value::<JobRecord>(&item.value) {
+            held.ledger.put_job(&record, item.stamp, true, now, config);
+        }
+    }
+}
+
+impl Holdings for Controller {
+    fn revision(&self) -> u64 {
+        self.revision
+    }
+    fn shard_count(&self) -> u32 {
+        u32::MAX
+    }
+    fn holds(&self, shard: PartId) -> bool {
+        self.held.contains_key(&shard)
+    }
+    fn knows_job(&self, job: &JobId) -> bool {
+        self.jobs.contains(job)
+    }
+    fn has_job(&self, shard: PartId, job: &JobId) -> bool {
+        let held = self.held.get(&shard);
+        held.is_some_and(|h| h.ledger.jobs.contains_key(job))
+    }
+    fn knows_machine(&self, machine: &MachineId) -> bool {
+        self.machines.contains(machine)
+    }
+    fn has_machine(&self, shard: PartId, machine: &MachineId) -> bool {
+        let held = self.held.get(&shard);
+        held.is_some_and(|h| h.ledger.machines.contains_key(machine))
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-standins/src/virtual_cluster/store.rs
@@ -0,0 +1,266 @@
+//! The state service in virtual time: keys, revisions, transactions, outages.
+
+use super::worker::Worker;
+use fastrand::Rng;
+use pulleywood_core::Config;
+use pulleywood_recovery::evidence::StoredState;
+use pulleywood_wire::cbor::{self, Value};
+use pulleywood_wire::rack::RackRecord;
+use pulleywood_wire::record::{
+    FinalRecord, JobRecord, Key, LAYOUT, Layout, MachineRecord, Slots, TERM, TermRecord, final_key,
+    job_key, rack_key,
+};
+use pulleywood_wire::state::{Change, Commit, Item};
+use pulleywood_wire::{JobId, JobSpec, JobStatus, Moment, PartId, Shape, Stamp, TaskId, Term};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The store.
+pub struct Store {
+    keys: BTreeMap<String, Item>,
+    /// Its revision.
+    pub revision: u64,
+    /// What changed, by revision: a key, and whether it is there.
+    pub log: Vec<(u64, String)>,
+    /// When nobody is answered.
+    pub away: Option<(Moment, Moment)>,
+    /// Requests carried out.
+    pub requests: usize,
+    /// Until when a controller's keys are held for it, after its end.
+    leases: BTreeMap<String, (usize, Moment)>,
+    shards: u32,
+    services: BTreeMap<JobId, bool>,
+}
+
+impl Store {
+    /// With its layout and counter.
+    pub fn new(shards: u32) -> Store {
+        let mut store = Store {
+            keys: BTreeMap::new(),
+            revision: 0,
+            log: Vec::new(),
+            away: None,
+            requests: 0,
+            leases: BTreeMap::new(),
+            shards,
+            services: BTreeMap::new(),
+        };
+        store.put(LAYOUT.into(), cbor::to_value(&Layout { parts: shards }));
+        store.put(TERM.into(), cbor::to_value(&TermRecord { last: Term(1) }));
+        store
+    }
+
+    fn put(&mut self, path: String, value: Value) {
+        self.revision += 1;
+        let item = Item {
+            path: path.clone(),
+            value,
+            stamp: Stamp(self.revision),
+            permit: None,
+        };
+        self.log.push((self.revision, path.clone()));
+        self.keys.insert(path, item);
+    }
+
+    /// Whether it answers.
+    pub fn answers(&self, now: Moment) -> bool {
+        self.away.is_none_or(|(from, to)| now < from || now >= to)
+    }
+
+    /// A lease holds a key for a controller until it is not renewed any more.
+    pub fn hold(&mut self, key: String, controller: usize, until: Moment) {
+        self.leases.insert(key, (controller, until));
+    }
+
+    /// Renews all leases of a controller.
+    pub fn renew(&mut self, controller: usize, until: Moment) {
+        for (owner, end) in self.leases.values_mut() {
+            if *owner == controller {
+                *end = until;
+            }
+        }
+    }
+
+    /// Ends all leases of a controller's former process.
+    pub fn end_leases(&mut self, controller: usize) {
+        let held = self.leases.iter().filter(|(_, (n, _))| *n == controller);
+        let held: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        self.end(held);
+    }
+
+    fn end(&mut self, keys: Vec<String>) {
+        for key in keys {
+            self.leases.remove(&key);
+            self.revision += 1;
+            self.keys.remove(&key);
+            self.log.push((self.revision, key));
+        }
+    }
+
+    /// Deletes keys whose leases ran out. After an outage all get their full time.
+    pub fn expire(&mut self, now: Moment) {
+        const FULL: Duration = Duration::from_secs(6);
+        if let Some((from, to)) = self.away
+            && now >= from
+            && now <= to + Duration::from_millis(200)
+        {
+            for (_, end) in self.leases.values_mut() {
+                *end = (*end).max(now + FULL);
+            }
+            return;
+        }
+        let ended: Vec<String> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, end))| *end <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        self.end(ended);
+    }
+
+    /// One key.
+    pub fn get(&mut self, key: &str) -> Option<Item> {
+        self.requests += 1;
+        self.keys.get(key).cloned()
+    }
+
+    /// All keys with a prefix after one, up to so many, and whether there are more.
+    pub fn list(&mut self, prefix: &str, after: &str, most: usize) -> (Vec<Item>, bool) {
+        self.requests += 1;
+        let from = if after > prefix { after } else { prefix };
+        let mut below = self.keys.range(from.to_owned()..);
+        let mut items = Vec::new();
+        for (key, item) in below.by_ref() {
+            if !key.starts_with(prefix) {
+                return (items, false);
+            }
+            if key == after {
+                continue;
+            }
+            if items.len() == most {
+                return (items, true);
+            }
+            items.push(item.clone());
+        }
+        (items, false)
+    }
+
+    /// What a key holds, for what changed.
+    pub fn peek(&self, key: &str) -> Option<&Item> {
+        self.keys.get(key)
+    }
+
+    /// Carries a transaction out, if its conditions hold.
+    pub fn commit(&mut self, commit: &Commit) -> Option<Stamp> {
+        self.requests += 1;
+        let stamp = |key: &str| self.keys.get(key).map_or(Stamp(0), |i| i.stamp);
+        if commit.conditions.iter().any(|c| stamp(&c.path) != c.stamp) {
+            return None;
+        }
+        self.revision += 1;
+        for change in &commit.changes {
+            match change {
+                Change::Write { write, value, .. } => {
+                    let item = Item {
+                        path: write.clone(),
+                        value: value.clone(),
+                        stamp: Stamp(self.revision),
+                        permit: None,
+                    };
+                    self.keys.insert(write.clone(), item);
+                    self.log.push((self.revision, write.clone()));
+                }
+                Change::Delete { delete } => {
+                    self.keys.remove(delete);
+                    self.log.push((self.revision, delete.clone()));
+                }
+            }
+        }
+        Some(Stamp(self.revision))
+    }
+
+    /// Records all machines, several to a value.
+    pub fn record_machines(&mut self, workers: &[Worker], config: &Config) {
+        for (n, some) in workers.chunks(config.rack_machines()).enumerate() {
+            let machines = some.iter().map(|w| {
+                let record = MachineRecord {
+                    part: w.shard,
+                    term: Term(0),
+                    flavor: "g4".into(),
+                    zone: w.zone.clone(),
+                    spot: false,
+                    endpoint: "10.0.0.1:1".into(),
+                    retiring: false,
+                    images: vec![],
+                };
+                (w.id.clone(), record)
+            });
+            let rack = RackRecord {
+                machines: machines.collect(),
+                ..Default::default()
+            };
+            self.put(rack_key(n as u64 + 1), cbor::to_value(&rack));
+        }
+    }
+
+    /// Accepts a job for a shard.
+    pub fn accept(&mut self, spec: JobSpec, shard: u32, shards: u32) {
+        let service = spec.shape == Shape::Service;
+        self.services.insert(spec.id.clone(), service);
+        let key = job_key(spec.id.part(shards), &spec.id);
+        let record = JobRecord {
+            spec,
+            at_ms: 0,
+            part: PartId(shard),
+            lent: vec![],
+            done: String::new(),
+        };
+        self.put(key, cbor::to_value(&record));
+    }
+
+    /// Cancels one of the live jobs.
+    pub fn cancel_any(&mut self, rng: &mut Rng) -> Option<JobId> {
+        let live: Vec<JobId> = self
+            .keys
+            .keys()
+            .filter_map(|key| match Key::parse(key)? {
+                Key::Job(_, id, 0) => Some(id),
+                _ => None,
+            })
+            .collect();
+        let id = live.get(rng.usize(0..live.len().max(1)))?.clone();
+        let key = job_key(id.part(self.shards), &id);
+        self.revision += 1;
+        self.keys.remove(&key);
+        self.log.push((self.revision, key));
+        let over = FinalRecord {
+            status: JobStatus::Cancelled,
+            done: 0,
+            team: "red".into(),
+            slots: Slots::default(),
+        };
+        self.put(final_key(&id), cbor::to_value(&over));
+        Some(id)
+    }
+
+    /// Whether a job is live.
+    pub fn is_live(&self, id: &JobId) -> bool {
+        self.keys.contains_key(&job_key(id.part(self.shards), id))
+    }
+
+    /// Whether it is a service.
+    pub fn is_service(&self, id: &JobId) -> bool {
+        self.services.get(id).copied().unwrap_or(false)
+    }
+
+    /// Whether a task is recorded as done.
+    pub fn is_done(&self, task: &TaskId) -> bool {
+        let key = job_key(task.job.part(self.shards), &task.job);
+        let Some(item) = self.keys.get(&key) else {
+            return self.keys.contains_key(&final_key(&task.job));
+        };
+        let state = StoredState::from_items(std::slice::from_ref(item), 0, 1024);
+        let job = state.jobs.get(&task.job);
+        job.is_some_and(|j| j.done.contains(task.index))
+    }
+}
--- /dev/null
+++ b/crates/pulleywood-standins/src/virtual_cluster/worker.rs
@@ -0,0 +1,293 @@
+//! A worker in virtual time.
+
+use crate::history::{End, Event};
+use fastrand::Rng;
+use pulleywood_core::Config;
+use pulleywood_wire::worker::{Cause, Order, Report, ReportAnswer, TaskReport, TaskState};
+use pulleywood_wire::{Attempt, JobId, MachineId, Moment, PartId, TaskId, Term};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long a task of an array runs.
+const RUNS: Duration = Duration::from_secs(60);
+
+/// What the answer to a report says.
+pub struct Answer {
+    /// Its term and orders.
+    pub body: ReportAnswer,
+    /// For each job launched: its image, the GB of it, and whether it is a service.
+    pub images: BTreeMap<JobId, (String, f64, bool)>,
+}
+
+impl Answer {
+    /// Launches and halts in it.
+    pub fn launches_and_halts(&self) -> usize {
+        let orders = self.body.orders.iter();
+        orders.filter(|o| !matches!(o, Order::Clear { .. })).count()
+    }
+}
+
+struct Task {
+    task: TaskId,
+    attempt: Attempt,
+    image: String,
+    service: bool,
+    /// When it ends, once it runs.
+    ends: Option<Moment>,
+    running: bool,
+    exit: Option<Cause>,
+}
+
+/// A machine and its worker.
+pub struct Worker {
+    /// Its machine.
+    pub id: MachineId,
+    /// The shard that its record names.
+    pub shard: PartId,
+    /// Its zone.
+    pub zone: String,
+    /// It reaches nobody and nobody reaches it until then.
+    pub cut_until: Moment,
+    dead: bool,
+    session: u64,
+    seq: u64,
+    /// The highest term it has seen.
+    pub term: Term,
+    renewed: Moment,
+    next: Moment,
+    /// Moves with each report, so that reports spread.
+    jitter: u64,
+    lease: Duration,
+    report: Duration,
+    /// Images present, and the GB left of those being fetched.
+    images: BTreeMap<String, f64>,
+    tasks: Vec<Task>,
+    now: Moment,
+}
+
+impl Worker {
+    /// One without tasks.
+    pub fn new(n: usize, config: &Config, rng: &mut Rng) -> Worker {
+        let start = Moment(3_600_000);
+        Worker {
+            id: MachineId::from(format!("vm-{n:06}").as_str()),
+            shard: PartId(n as u32 % config.parts),
+            zone: config.zones[n % config.zones.len()].clone(),
+            cut_until: Moment(0),
+            dead: false,
+            session: 1,
+            seq: 0,
+            term: Term(0),
+            renewed: start,
+            next: start + Duration::from_millis(rng.u64(0..2000)),
+            jitter: rng.u64(..),
+            lease: config.lease,
+            report: config.report,
+            images: BTreeMap::new(),
+            tasks: Vec::new(),
+            now: start,
+        }
+    }
+
+    /// The machine is lost with all that is on it.
+    pub fn die(&mut self, now: Moment, events: &mut Vec<Event>) {
+        if !self.dead {
+            self.dead = true;
+            self.lose_all(now, events);
+        }
+    }
+
+    fn lose_all(&mut self, now: Moment, events: &mut Vec<Event>) {
+        for task in self.tasks.drain(..) {
+            let machine = self.id.clone();
+            if task.running {
+                events.push(Event::End {
+                    at: now.0,
+                    task: task.task,
+                    machine,
+                    how: End::Lost,
+                });
+            } else if task.exit == Some(Cause::Done) {
+                let task = task.task;
+                events.push(Event::Forgotten { task, machine });
+            }
+        }
+    }
+
+    /// Whether a task is here in any state that a recovery can keep.
+    pub fn holds(&self, task: &TaskId) -> bool {
+        let keeps = |t: &Task| t.exit.is_none() || t.exit == Some(Cause::Done);
+        self.tasks.iter().any(|t| t.task == *task && keeps(t))
+    }
+
+    /// Whether a task runs here.
+    pub fn runs(&self, task: &TaskId) -> bool {
+        self.tasks.iter().any(|t| t.task == *task && t.running)
+    }
+
+    /// Whether it can be reached.
+    pub fn is_reachable(&self, now: Moment) -> bool {
+        !self.dead && now >= self.cut_until
+    }
+
+    /// Leases lapse, images come, tasks begin and complete.
+    pub fn pass_time(&mut self, now: Moment, events: &mut Vec<Event>) {
+        if self.dead {
+            return;
+        }
+        if now.since(self.renewed) > self.lease {
+            self.lose_all(now, events);
+            self.images.retain(|_, left| *left <= 0.0);
+            self.session += 1;
+            self.renewed = now;
+        }
+        let passed = now.since(self.now).as_secs_f64();
+        self.now = now;
+        // Images fetched at the same time share the rate of 1 GB a second.
+        let fetching = self.images.values().filter(|left| **left > 0.0).count();
+        for left in self.images.values_mut().filter(|left| **left > 0.0) {
+            *left -= passed / fetching as f64;
+        }
+        for task in self.tasks.iter_mut().filter(|t| t.exit.is_none()) {
+            let fetched = self.images.get(&task.image).is_none_or(|left| *left <= 0.0);
+            if !task.running && fetched {
+                task.running = true;
+                task.ends = (!task.service).then(|| now + RUNS);
+                events.push(Event::Start {
+                    at: now.0,
+                    task: task.task.clone(),
+                    attempt: task.attempt,
+                    machine: self.id.clone(),
+                });
+            }
+            if task.running && task.ends.is_some_and(|end| now >= end) {
+                task.running = false;
+                task.exit = Some(Cause::Done);
+                events.push(Event::End {
+                    at: now.0,
+                    task: task.task.clone(),
+                    machine: self.id.clone(),
+                    how: End::Done,
+                });
+            }
+        }
+    }
+
+    /// Whether it sends a report now.
+    pub fn reports(&mut self, now: Moment) -> bool {
+        if now < self.next {
+            return false;
+        }
+        self.jitter = self
+            .jitter
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        let spread = 0.75 + (self.jitter >> 33) as f64 / (1u64 << 31) as f64 * 0.5;
+        self.next = now + self.report.mul_f64(spread);
+        self.is_reachable(now)
+    }
+
+    /// Nobody answered: the next controller is tried a second later.
+    pub fn unanswered(&mut self, now: Moment) {
+        self.next = now + Duration::from_secs(1);
+    }
+
+    /// Its report.
+    pub fn report(&mut self, _now: Moment) -> Report {
+        self.seq += 1;
+        let tasks = self.tasks.iter().map(|t| TaskReport {
+            task: t.task.clone(),
+            attempt: t.attempt,
+            state: match (t.exit, t.running) {
+                (Some(_), _) => TaskState::Exited,
+                (None, true) => TaskState::Running,
+                (None, false) => TaskState::Fetching,
+            },
+            cause: t.exit,
+            stored: None,
+        });
+        Report {
+            machine: self.id.clone(),
+            endpoint: "10.0.0.1:1".into(),
+            flavor: "g4".into(),
+            zone: self.zone.clone(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            term: self.term,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// An empty direct command: its reply, if it was executed.
+    pub fn direct(&mut self, term: Term, now: Moment) -> Option<Report> {
+        if !self.is_reachable(now) || term < self.term {
+            return None;
+        }
+        self.term = term;
+        Some(self.report(now))
+    }
+
+    /// Takes the answer to a report.
+    pub fn execute(
+        &mut self,
+        answer: &Answer,
+        report: &Report,
+        now: Moment,
+        events: &mut Vec<Event>,
+        _config: &Config,
+    ) {
+        if answer.body.term < self.term || report.session != self.session {
+            return;
+        }
+        self.term = answer.body.term;
+        self.renewed = now;
+        for order in &answer.body.orders {
+            match order {
+                Order::Launch { leg, attempt } => self.launch(leg, *attempt, answer),
+                Order::Halt { leg, attempt, .. } => self.halt(leg, *attempt, now, events),
+                Order::Clear { leg, attempt } => self
+                    .tasks
+                    .retain(|t| t.task != *leg || t.attempt != *attempt || t.exit.is_none()),
+            }
+        }
+    }
+
+    fn launch(&mut self, task: &TaskId, attempt: Attempt, answer: &Answer) {
+        let known = |t: &Task| t.task == *task && t.attempt == attempt;
+        if self.tasks.iter().any(known) {
+            return;
+        }
+        let (image, gb, service) = answer.images[&task.job].clone();
+        self.images.entry(image.clone()).or_insert(gb);
+        let busy = self
+            .tasks
+            .iter()
+            .any(|t| t.task == *task && t.exit.is_none());
+        self.tasks.push(Task {
+            task: task.clone(),
+            attempt,
+            image,
+            service,
+            ends: None,
+            running: false,
+            exit: busy.then_some(Cause::Busy),
+        });
+    }
+
+    fn halt(&mut self, task: &TaskId, attempt: Attempt, now: Moment, events: &mut Vec<Event>) {
+        let same = |t: &&mut Task| t.task == *task && t.attempt == attempt && t.exit.is_none();
+        for found in self.tasks.iter_mut().filter(same) {
+            found.exit = Some(Cause::Stopped);
+            if std::mem::take(&mut found.running) {
+                events.push(Event::End {
+                    at: now.0,
+                    task: task.clone(),
+                    machine: self.id.clone(),
+                    how: End::Halted,
+                });
+            }
+        }
+    }
+}
--- a/crates/pulleywood-standins/src/worker.rs
+++ b/crates/pulleywood-standins/src/worker.rs
@@ -1,5 +1,6 @@
 //! A worker: reports, executes orders, lets its lease lapse.
 
+use crate::history::End;
 use crate::loopback;
 use crate::world::World;
 use parking_lot::Mutex;
@@ -148,7 +149,11 @@
 
     fn kill(&self, state: &mut State) {
         for task in state.tasks.drain(..) {
-            self.world.end(&task.task, &self.place.machine, false);
+            match task.exit {
+                None => self.world.end(&task.task, &self.place.machine, End::Lost),
+                Some(Cause::Done) => self.world.forget(&task.task, &self.place.machine),
+                Some(_) => {}
+            }
         }
     }
 
@@ -207,7 +212,7 @@
         for task in &mut state.tasks {
             if task.exit.is_none() && task.ends.is_some_and(|end| now >= end) {
                 task.exit = Some(Cause::Done);
-                self.world.end(&task.task, &self.place.machine, true);
+                self.world.end(&task.task, &self.place.machine, End::Done);
             }
         }
     }
@@ -262,7 +267,7 @@
                         let same = task.task == *leg && task.attempt == *attempt;
                         if same && task.exit.is_none() {
                             task.exit = Some(Cause::Stopped);
-                            self.world.end(leg, &self.place.machine, false);
+                            self.world.end(leg, &self.place.machine, End::Halted);
                         }
                     }
                 }
@@ -296,7 +301,7 @@
             None => task.exit = Some(Cause::NoSuch),
             Some(run) => {
                 task.ends = Instant::now().checked_add(run);
-                self.world.start(leg, &self.place.machine);
+                self.world.start(leg, attempt, &self.place.machine);
             }
         }
         state.tasks.push(task);
--- a/crates/pulleywood-standins/src/world.rs
+++ b/crates/pulleywood-standins/src/world.rs
@@ -1,8 +1,9 @@
 //! What is true outside the controllers: jobs as their users see them, tasks
 //! as they run, and the rules.
 
+use crate::history::{End, Event};
 use parking_lot::Mutex;
-use pulleywood_wire::{JobId, JobSpec, MachineId, Shape, TaskId};
+use pulleywood_wire::{Attempt, JobId, JobSpec, MachineId, Shape, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -31,9 +32,17 @@
     limits: BTreeMap<String, f64>,
     broken: Vec<String>,
     late_starts: u32,
+    history: Vec<Event>,
+    began: Option<Instant>,
 }
 
 impl State {
+    /// Milliseconds since the first event.
+    fn at(&mut self) -> u64 {
+        let began = *self.began.get_or_insert_with(Instant::now);
+        began.elapsed().as_millis() as u64
+    }
+
     /// Notes a task that is on a machine too long after its job's cancellation.
     fn late(&mut self, task: &TaskId, machine: &MachineId) {
         let told = self.jobs.get(&task.job).and_then(|j| j.told);
@@ -101,8 +110,15 @@
     }
 
     /// A task starts on a machine.
-    pub fn start(&self, task: &TaskId, machine: &MachineId) {
+    pub fn start(&self, task: &TaskId, attempt: Attempt, machine: &MachineId) {
         let mut state = self.state.lock();
+        let event = Event::Start {
+            at: state.at(),
+            task: task.clone(),
+            attempt,
+            machine: machine.clone(),
+        };
+        state.history.push(event);
         if let Some(other) = state.on.get(task) {
             let text = format!("ran_twice: {task} runs on {other}, starts on {machine}");
             state.broken.push(text);
@@ -129,14 +145,31 @@
         }
     }
 
+    /// The worker of a machine has forgotten a task that had completed there.
+    pub fn forget(&self, task: &TaskId, machine: &MachineId) {
+        self.state.lock().history.push(Event::Forgotten {
+            task: task.clone(),
+            machine: machine.clone(),
+        });
+    }
+
     /// A task is no longer on a machine.
-    pub fn end(&self, task: &TaskId, machine: &MachineId, done: bool) {
+    pub fn end(&self, task: &TaskId, machine: &MachineId, how: End) {
         let mut state = self.state.lock();
+        let event = Event::End {
+            at: state.at(),
+            task: task.clone(),
+            machine: machine.clone(),
+            how,
+        };
+        state.history.push(event);
         state.late(task, machine);
         if state.on.get(task) == Some(machine) {
             state.on.remove(task);
         }
-        if done && let Some(job) = state.jobs.get_mut(&task.job) {
+        if how == End::Done
+            && let Some(job) = state.jobs.get_mut(&task.job)
+        {
             job.done.insert(task.index);
         }
     }
@@ -175,6 +208,13 @@
         starts.map(|(_, n)| n).sum()
     }
 
+    /// All that happened to tasks so far, and when that is.
+    pub fn history(&self) -> (Vec<Event>, u64) {
+        let mut state = self.state.lock();
+        let now = state.at();
+        (state.history.clone(), now)
+    }
+
     /// The rules broken so far.
     pub fn broken(&self) -> Vec<String> {
         self.state.lock().broken.clone()
--- a/crates/pulleywood/src/owner.rs
+++ b/crates/pulleywood/src/owner.rs
@@ -309,6 +309,7 @@
             return Ok(());
         }
         let mut ledger = PartLedger::new(part, term, silent_until, config.zones.clone());
+        ledger.resumption.stops_wait = shared.recovery.is_some();
         ledger.day_offset_ms = now.0 as i64 - time_of_day_ms() as i64;
         if !has_grant {
             node.put_grant(part, first_grant, stamp);
--- a/crates/pulleywood/tests/stage/mod.rs
+++ b/crates/pulleywood/tests/stage/mod.rs
@@ -48,7 +48,46 @@
     }
 }
 
+/// What cluster is set up.
+pub struct Options {
+    /// GPUs that the team may use; 0: no limit.
+    pub limit: f64,
+    /// Writes a second to the state service.
+    pub write_rps: f64,
+    /// Seconds of a worker's lease.
+    pub lease_s: f64,
+    /// Seconds between two reports.
+    pub report_s: f64,
+    /// Machines that can be rented.
+    pub machines: usize,
+    /// Sockets of a controller.
+    pub sockets: u32,
+    /// The operators' policy scripts.
+    pub policies: Vec<std::path::PathBuf>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            limit: 0.0,
+            write_rps: 200.0,
+            lease_s: 2.0,
+            report_s: 0.2,
+            machines: 4,
+            sockets: 400,
+            policies: Vec::new(),
+        }
+    }
+}
+
+/// The policy script that switches the recovery subsystem on.
+pub fn recovery_policy() -> std::path::PathBuf {
+    let crate_ = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    crate_.join("../../deploy/recovery.lua")
+}
+
 pub struct Stage {
+    pub policies: Vec<std::path::PathBuf>,
     pub world: Arc<World>,
     pub state: StateService,
     pub cloud: Cloud,
@@ -86,7 +125,25 @@
 
     /// The same with workers' leases of `lease` seconds.
     pub fn of(limit: f64, write_rps: f64, lease: u32) -> Stage {
-        let lease_s = f64::from(lease);
+        Stage::build(Options {
+            limit,
+            write_rps,
+            lease_s: lease.into(),
+            ..Options::default()
+        })
+    }
+
+    /// Whatever cluster is asked for.
+    pub fn build(options: Options) -> Stage {
+        let Options {
+            limit,
+            write_rps,
+            lease_s,
+            report_s,
+            machines,
+            sockets,
+            policies,
+        } = options;
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let world = Arc::new(World::default());
         if limit > 0.0 {
@@ -107,12 +164,12 @@
             zones: vec!["a".into()],
         };
         let (report, worker_lease) = (
-            Duration::from_millis(200),
-            Duration::from_secs(lease.into()),
+            Duration::from_secs_f64(report_s),
+            Duration::from_secs_f64(lease_s),
         );
         let cloud = Cloud::start(
             flavor,
-            4,
+            machines,
             report,
             worker_lease,
             controllers.clone(),
@@ -136,7 +193,8 @@
             serve_on,
             files: Vec::new(),
             running: Vec::new(),
-            cancel: Duration::from_secs(u64::from(lease) + 4),
+            cancel: Duration::from_secs_f64(lease_s + 4.0),
+            policies,
         };
         for n in 0..CONTROLLERS {
             let front = stage.state.front().unwrap();
@@ -178,7 +236,7 @@
                     }],
                     objectives: vec![],
                     workers: Workers {
-                        report_s: 0.2,
+                        report_s,
                         lease_s,
                         cancel_s: lease_s + 4.0,
                     },
@@ -196,7 +254,7 @@
                         max_threads: 2000,
                         cores: 1.0,
                         ram_mb: 200.0,
-                        max_sockets: 400,
+                        max_sockets: sockets,
                     },
                     clock_error_ms: 0.0,
                 },
@@ -222,6 +280,11 @@
         let child = Command::new(env!("CARGO_BIN_EXE_pulleywood"))
             .arg("--config")
             .arg(&self.files[n])
+            .args(
+                self.policies
+                    .iter()
+                    .flat_map(|p| ["--policy".as_ref(), p.as_os_str()]),
+            )
             .env(
                 "LOG_LEVEL",
                 std::env::var("LOG_LEVEL").as_deref().unwrap_or("error"),
