--- a/crates/pulleywood/src/recovery.rs
+++ b/crates/pulleywood/src/recovery.rs
@@ -14,7 +14,7 @@
 use pulleywood_recovery::progress::{Phase, Progress, Transition};
 use pulleywood_wire::record::{Key, ROLE, TERM, TermRecord};
 use pulleywood_wire::state::{Commit, Item};
-use pulleywood_wire::{JobId, MachineId, Moment, PartId, Term};
+use pulleywood_wire::{JobId, MachineId, Moment, PartId, Stamp, Term};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -243,7 +243,7 @@
     shared: &Arc<Shared>,
     machine: &MachineId,
     (from, to): (Term, Term),
-    stamp: pulleywood_wire::Stamp,
+    stamp: Stamp,
 ) -> Result<(), StateError> {
     tracing::error!(
         "{machine} has seen term {to}, the counter is {from}: the state service is older than \
@@ -298,6 +298,9 @@
     }
 }
 
+/// Nothing of a job that was taken up is launched before it was read once more.
+const VERIFY_TIME: Duration = Duration::from_secs(3);
+
 /// Takes up what the audit found, by the paths that the watch takes.
 fn take_up(shared: &Shared, finding: &Finding) {
     let (missing, key) = (&finding.missing, &finding.item.path);
@@ -307,16 +310,44 @@
     }
     tracing::error!("audit: {missing:?} in {key}: taken up");
     let now = shared.clock.now();
-    let mut node = shared.node.lock();
     match missing {
-        Missing::JobInView(id) | Missing::Job(_, id) => node.take_up_job(id, &finding.item, now),
+        Missing::JobInView(id) | Missing::Job(_, id) => {
+            let mut node = shared.node.lock();
+            node.take_up_job(id, &finding.item, now);
+            let until = now + VERIFY_TIME;
+            for owned in node.owned.values_mut() {
+                owned.ledger.cancelling(id, until);
+            }
+            drop(node);
+            verify_job(shared, id, &finding.item);
+        }
         Missing::MachineInView(id) | Missing::Machine(_, id) => {
+            let mut node = shared.node.lock();
             node.take_up_machine(id, &finding.item, now);
         }
         Missing::JobShard(..) | Missing::MachineShard(..) => {}
     }
 }
 
+/// The job may have ended while it was being taken up, and the watch does not
+/// bring that again: unless its record is still as it was, it is dropped, and the
+/// next pass of the audit looks at it afresh.
+fn verify_job(shared: &Shared, id: &JobId, item: &Item) {
+    let stored = shared.state.get(Class::Owner, &item.path);
+    if matches!(&stored, Ok(Some(now)) if now.stamp == item.stamp) {
+        return;
+    }
+    tracing::info!("audit: {id} changed meanwhile");
+    let now = shared.clock.now();
+    let mut node = shared.node.lock();
+    node.view.jobs.remove(id);
+    let after = Stamp(item.stamp.0.max(node.view.ledger) + 1);
+    let config = Arc::clone(&node.config);
+    for owned in node.owned.values_mut().filter(|o| o.loaded) {
+        owned.job_event(id, &JobEntry::Gone, after, false, now, &config);
+    }
+}
+
 impl Node {
     /// A live job that this controller should have and had not. An earlier owner
     /// may have launched it.
