--- /dev/null
+++ b/crates/pulleywood/tests/scale.rs
@@ -0,0 +1,140 @@
+//! Many machines against one controller that carries every shard: what it writes,
+//! holds and starts is counted.
+
+mod stage;
+
+use parking_lot::Mutex;
+use pulleywood_net::Client;
+use pulleywood_wire::cbor;
+use pulleywood_wire::worker::{Report, ReportAnswer};
+use pulleywood_wire::{MachineId, Term};
+use stage::{Options, Stage, wait};
+use std::time::Duration;
+
+/// Machines of the large run are set by this variable; CI plays a smaller one.
+const MACHINES: &str = "PULLEYWOOD_MACHINES";
+/// Reports under way at a time.
+const AT_ONCE: usize = 32;
+/// Machines whose records share a value of 8 KiB.
+const SHARED: usize = 18;
+
+/// As much of a worker as adoption and reports need.
+struct Reporter {
+    report: Report,
+    client: Client,
+}
+
+impl Reporter {
+    /// Reports until it is answered; whether the answer was 200 at once.
+    fn report(&mut self) -> bool {
+        let mut at_once = true;
+        wait("answered", || {
+            self.report.seq += 1;
+            let body = cbor::encode(&self.report);
+            let time = Duration::from_secs(4);
+            match self.client.call("POST", "/v1/report", Some(&body), time) {
+                Ok(answer) if answer.status == 200 => {
+                    let answer: ReportAnswer = cbor::decode(&answer.body).unwrap();
+                    self.report.term = self.report.term.max(answer.term);
+                    true
+                }
+                _ => {
+                    at_once = false;
+                    false
+                }
+            }
+        });
+        at_once
+    }
+}
+
+fn all_report(reporters: &mut [Reporter]) -> usize {
+    let late = Mutex::new(0);
+    let queue = Mutex::new(reporters.iter_mut());
+    std::thread::scope(|scope| {
+        for _ in 0..AT_ONCE {
+            scope.spawn(|| {
+                while let Some(reporter) = { queue.lock().next() } {
+                    if !reporter.report() {
+                        *late.lock() += 1;
+                    }
+                }
+            });
+        }
+    });
+    late.into_inner()
+}
+
+/// A number of the process from what the system tells of it.
+fn threads_of(pid: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|l| l.starts_with("Threads:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+fn sockets_of(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd"))
+        .unwrap()
+        .count()
+}
+
+#[test]
+fn one_controller_takes_in_and_answers_every_machine_within_its_bounds() {
+    let machines: usize = std::env::var(MACHINES).map_or(400, |n| n.parse().unwrap());
+    let mut stage = Stage::build(Options {
+        sockets: 2000,
+        lease_s: 6.0,
+        ..Options::default()
+    });
+    // The others end: one carries all shards.
+    for n in 1..stage::CONTROLLERS {
+        stage.kill(n);
+    }
+    let mut reporters: Vec<Reporter> = (0..machines)
+        .map(|n| Reporter {
+            report: Report {
+                machine: MachineId::from(format!("vm-{:06}", 100_000 + n).as_str()),
+                endpoint: "127.0.0.1:9".into(),
+                flavor: "g2".into(),
+                zone: "a".into(),
+                spot: false,
+                session: 1,
+                seq: 0,
+                term: Term(0),
+                notice_s: None,
+                tasks: vec![],
+            },
+            client: Client::new(stage.serve_on[0], 1),
+        })
+        .collect();
+    let probe = &mut reporters[..1];
+    all_report(probe);
+    let writes = stage.state.writes();
+    all_report(&mut reporters);
+    let adopted = stage.state.writes() - writes;
+    // Each transaction writes a value of records and the head; values that were
+    // not full when they were written are joined later.
+    let least = 2 * machines.div_ceil(SHARED) as u64;
+    assert!(
+        adopted <= least * 2 + 40,
+        "{adopted} writes, {least} at the least"
+    );
+    let late = all_report(&mut reporters);
+    let pid = stage.running[0].as_ref().unwrap().id();
+    let (threads, sockets) = (threads_of(pid), sockets_of(pid));
+    println!(
+        "{machines} machines: {adopted} writes to take them in, {threads} threads, {sockets} \
+         sockets, {late} not answered at once"
+    );
+    assert!(threads <= 2000, "{threads} threads");
+    assert!(sockets <= 2000, "{sockets} sockets");
+    // All of them have a record.
+    wait("recorded", || {
+        let racks = stage.state.values("c/rack/");
+        let recorded = racks.iter().map(|rack| {
+            let rack = pulleywood_wire::rack::RackRecord::from_value(rack).unwrap();
+            rack.machines.len()
+        });
+        recorded.sum::<usize>() >= machines
+    });
+}
