--- /dev/null
+++ b/crates/pulleywood/src/node/mod.rs
@@ -0,0 +1,326 @@
+//! What one controller knows, behind one short lock.
+
+mod digests;
+mod final_states;
+mod records;
+mod watched;
+
+use crate::adopt::Adoptions;
+use crate::clock::Clock;
+use crate::desk::Pending;
+use crate::follow::Reads;
+use crate::intake::Intake;
+use parking_lot::{Condvar, Mutex};
+use pulleywood_core::types::Choices;
+use pulleywood_core::{Config, PartLedger, home};
+use pulleywood_net::peer::PeerClient;
+use pulleywood_net::{CloudClient, Pace, StateClient};
+use pulleywood_recovery::RecoveryPolicy;
+use pulleywood_recovery::counter::Shown;
+use pulleywood_wire::pack::{PackHead, Packs};
+use pulleywood_wire::peer::{Digest, PartDigest};
+use pulleywood_wire::rack::Racks;
+use pulleywood_wire::record::{GrantRecord, Holder, JobRecord, Layout, MachineRecord};
+use pulleywood_wire::settings::Settings;
+use pulleywood_wire::time::{secs, surely_within};
+use pulleywood_wire::{JobId, JobSpec, MachineId, MemberId, Moment, PartId, Permit, Stamp, Term};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+pub use final_states::Finals;
+pub use records::{JobEntry, read, read_pack, read_rack};
+
+/// Everything the threads of one controller share.
+pub struct Shared {
+    /// The platform's settings.
+    pub settings: Settings,
+    /// This controller.
+    pub me: MemberId,
+    /// This process.
+    pub boot: u64,
+    /// Its clock.
+    pub clock: Clock,
+    /// The state service.
+    pub state: StateClient,
+    /// The cloud.
+    pub cloud: CloudClient,
+    /// The other controllers.
+    pub peers: BTreeMap<MemberId, PeerClient>,
+    /// What it knows. Never held across I/O.
+    pub node: Mutex<Node>,
+    /// Rung when the owner's threads have something to do.
+    pub bell: Condvar,
+    /// Submissions that wait to be accepted together.
+    pub intake: Intake,
+    /// Machines that wait to be adopted together.
+    pub adoptions: Adoptions,
+    /// Jobs whose owners are to hear that they are being cancelled.
+    pub cancelling: Pending<JobId>,
+    /// Users' questions that wait for a read.
+    pub reads: Reads,
+    /// Numbers digests.
+    pub digests_sent: AtomicU64,
+    /// How often the state service is asked what changed.
+    pub pace: Pace,
+    /// When a submission was last refused for want of tokens.
+    pub refused: AtomicU64,
+    /// The recovery subsystem's levers, if it is switched on.
+    pub recovery: Option<RecoveryPolicy>,
+    /// Final states told or read, kept for later polls.
+    pub finals: Mutex<Finals>,
+}
+
+/// Nothing is launched on an older view.
+const LAUNCH_VIEW: Duration = Duration::from_secs(3);
+
+/// The lease that all keys held by this controller are attached to.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Lease {
+    /// Its number, once taken.
+    pub permit: Option<Permit>,
+    /// When the last successful renewal was sent.
+    pub renewed: Moment,
+}
+
+/// A copy of the watched keys, as new as the last watch.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Revision up to which it is complete.
+    pub ledger: u64,
+    /// How many parts.
+    pub layout: Option<Layout>,
+    /// The term counter.
+    pub term: (Term, Stamp),
+    /// The coordinator.
+    pub role: Option<(Holder, Stamp)>,
+    /// Parts' holders.
+    pub parts: BTreeMap<PartId, (Holder, Stamp)>,
+    /// Since when a part has had no holder here.
+    pub free_since: BTreeMap<PartId, Moment>,
+    /// Parts' grants.
+    pub grants: BTreeMap<PartId, (GrantRecord, Stamp)>,
+    /// All machines.
+    pub machines: BTreeMap<MachineId, (MachineRecord, Stamp)>,
+    /// All live jobs, with how many of their tasks are recorded as done.
+    pub jobs: BTreeMap<JobId, u32>,
+    /// Machines whose records cannot be read: nobody commands them.
+    pub unreadable_machines: BTreeSet<MachineId>,
+    /// Packs of jobs.
+    pub packs: Packs,
+    /// Racks of machines.
+    pub racks: Racks,
+    /// Number of the newest rack, and the stamp of the racks' head.
+    pub rack_head: (PackHead, Stamp),
+    /// Number of the newest pack, and the stamp of the packs' head.
+    pub head: (PackHead, Stamp),
+    /// Jobs that left their packs by changes not yet all taken: they have a
+    /// record of their own, or are over.
+    left: Vec<(JobId, Stamp)>,
+    /// Live jobs that have a record of their own.
+    own: BTreeSet<JobId>,
+}
+
+/// A part this controller holds.
+pub struct Owned {
+    /// What it knows of it.
+    pub ledger: PartLedger,
+    /// Stamp of the part's key.
+    pub stamp: Stamp,
+    /// Read in full; until then events are kept back.
+    pub loaded: bool,
+    /// Changes of jobs that came while it was being read.
+    pub held: Vec<(JobId, JobEntry, Stamp)>,
+    /// Being handed to another controller: nothing is launched.
+    pub leaving: bool,
+    /// When this process took it over.
+    pub taken: Moment,
+    /// Stamp of the record that says that all machines that came with it are
+    /// accounted for.
+    pub settled: Option<Stamp>,
+    /// The holder before, while it may still answer workers.
+    pub before: Option<Holder>,
+}
+
+/// What one controller knows.
+pub struct Node {
+    /// Settings of the decisions.
+    pub config: Arc<Config>,
+    /// The watched keys.
+    pub view: View,
+    /// The view was read once.
+    pub viewed: bool,
+    /// The lease.
+    pub lease: Lease,
+    /// The view is surely as new as this moment.
+    pub caught_up: Moment,
+    /// Parts held.
+    pub owned: BTreeMap<PartId, Owned>,
+    /// Others' digests and when they came.
+    pub digests: BTreeMap<MemberId, (Digest, Moment)>,
+    /// Parts were given up for want of workers that reach this controller: none
+    /// is taken until then, and how often that has happened in a row.
+    pub unreached: (Moment, u32),
+    /// Jobs that transactions of this controller changed or ended which the watch
+    /// is yet to bring. An older change that comes before tells its parts
+    /// nothing: it revived jobs that had ended, and tasks that had just been lent
+    /// to another part, which then ran in both.
+    pub own_writes: BTreeMap<JobId, Stamp>,
+    /// Terms above their shard's that machines of shards held here showed.
+    pub shown_terms: BTreeMap<MachineId, Shown>,
+    /// What machine types work had to choose from lately, over all parts.
+    choices: Choices,
+    /// Processes of other controllers that were followed by newer ones.
+    pub former: VecDeque<u64>,
+    /// Digests of the parts held here, and when they were made.
+    own_digests: (Moment, Vec<Arc<PartDigest>>),
+    /// Jobs accepted here lately: when, for which part, how large.
+    pub sent: Vec<(Moment, PartId, f64)>,
+}
+
+impl Shared {
+    /// Length of the lease.
+    pub fn ttl(&self, node: &Node) -> Duration {
+        secs(node.config.policy.part_lease_s)
+    }
+
+    /// A submission was refused lately for want of tokens.
+    pub fn refusing(&self, now: Moment) -> bool {
+        let at = Moment(self.refused.load(Ordering::Relaxed));
+        at > Moment(0) && now.since(at) < Duration::from_secs(5)
+    }
+
+    /// The digest this controller sends.
+    pub fn digest(&self) -> Digest {
+        let now = self.clock.now();
+        let state_ok = self.state.answers();
+        let mut node = self.node.lock();
+        Digest {
+            member: self.me.clone(),
+            boot: self.boot,
+            seq: self.digests_sent.fetch_add(1, Ordering::Relaxed) + 1,
+            state_ok,
+            fit: node.viewed && node.lease.permit.is_some() && state_ok && now >= node.unreached.0,
+            refusing: self.refusing(now),
+            serving: node.serving(now),
+            parts: node.part_digests(now),
+        }
+    }
+}
+
+impl Node {
+    /// An empty one.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config: Arc::new(config),
+            view: View::default(),
+            viewed: false,
+            lease: Lease::default(),
+            caught_up: Moment::default(),
+            owned: BTreeMap::new(),
+            digests: BTreeMap::new(),
+            unreached: (Moment(0), 0),
+            own_writes: BTreeMap::new(),
+            shown_terms: BTreeMap::new(),
+            choices: Choices::default(),
+            former: VecDeque::new(),
+            own_digests: Default::default(),
+            sent: Vec::new(),
+        }
+    }
+
+    /// The local end of the lease: counted from before the renewal was sent,
+    /// less drift and margin, so that it lies before the store's.
+    pub fn lease_end(&self) -> Moment {
+        match self.lease.permit {
+            Some(_) => self.lease.renewed + surely_within(secs(self.config.policy.part_lease_s)),
+            None => Moment::default(),
+        }
+    }
+
+    /// Launches, writes and grants are allowed.
+    pub fn may_act(&self, now: Moment) -> bool {
+        now < self.lease_end() && self.may_answer(now)
+    }
+
+    /// Work may be launched: the view is newer than a watch that brought nothing
+    /// makes it. One that is older, as when the state service refuses this
+    /// controller alone, may lack cancellations that users were told of.
+    pub fn may_launch(&self, now: Moment) -> bool {
+        self.may_act(now) && now.since(self.caught_up) < LAUNCH_VIEW
+    }
+
+    /// Workers may be answered: a cancellation told elsewhere since the last
+    /// contact is still obeyed in time, as they lapse within their lease.
+    pub fn may_answer(&self, now: Moment) -> bool {
+        let contact = self.lease.renewed.min(self.caught_up);
+        self.viewed && now < contact + self.config.answer_span()
+    }
+
+    /// Parts that workers are answered for, with their terms.
+    pub fn serving(&self, now: Moment) -> Vec<(PartId, Term)> {
+        if !self.may_answer(now) {
+            return Vec::new();
+        }
+        let owned = self.owned.iter();
+        owned.map(|(p, o)| (*p, o.ledger.term)).collect()
+    }
+
+    /// No worker reaches this controller: it holds no part for a while, longer
+    /// each time in a row.
+    pub fn give_up_parts(&mut self, now: Moment) {
+        let (until, times) = self.unreached;
+        let in_a_row = now.since(until) < Duration::from_secs(120);
+        let times = if in_a_row { times + 1 } else { 0 };
+        let wait = self.config.lease * (4 << times.min(3));
+        self.unreached = (now + wait, times);
+    }
+
+    /// A machine of a shard held here showed a term above the shard's.
+    pub fn note_term(&mut self, machine: &MachineId, term: Term, now: Moment) {
+        let shown = Shown { term, at: now };
+        self.shown_terms.insert(machine.clone(), shown);
+    }
+
+    /// A job is live.
+    pub fn is_live(&self, id: &JobId) -> bool {
+        self.view.jobs.contains_key(id)
+    }
+
+    /// The record of a new job, with the part that is to run it.
+    pub fn new_job(&mut self, spec: JobSpec, at_ms: u64, now: Moment) -> JobRecord {
+        let config = Arc::clone(&self.config);
+        self.sent
+            .retain(|(at, ..)| now.since(*at) < Duration::from_millis(1500));
+        let mut sent: BTreeMap<PartId, f64> = BTreeMap::new();
+        for (_, part, size) in &self.sent {
+            *sent.entry(*part).or_default() += size;
+        }
+        let mut parts = self.all_parts(now);
+        parts.retain(|p, _| self.view.parts.contains_key(p));
+        let part = home::choose(&config, &spec, &parts, &self.view.machines, &sent);
+        let mut record = JobRecord {
+            spec,
+            at_ms,
+            part,
+            lent: Vec::new(),
+            done: String::new(),
+        };
+        home::spread(&config, &mut record, &parts, &self.view.machines, &sent);
+        let shares = record.lent.iter().map(|l| (l.part, record.loan(l).len()));
+        let size = home::size(&config, &record.spec);
+        let one = size / f64::from(record.spec.tasks.max(1));
+        let mut mine = size;
+        for (part, tasks) in shares {
+            let size = one * f64::from(tasks);
+            mine -= size;
+            self.sent.push((now, part, size));
+        }
+        self.sent.push((now, part, mine));
+        record
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/pulleywood/src/node/records.rs
@@ -0,0 +1,96 @@
+//! Stored records as they are read, and a job's record as its owner takes it.
+
+use super::Owned;
+use pulleywood_core::Config;
+use pulleywood_core::ledger::Job;
+use pulleywood_wire::pack::PackRecord;
+use pulleywood_wire::rack::RackRecord;
+use pulleywood_wire::record::{ChunkRecord, JobRecord};
+use pulleywood_wire::{JobId, Moment, Stamp, cbor};
+
+/// What became of a job's key.
+#[derive(Debug, Clone)]
+pub enum JobEntry {
+    /// The live record.
+    Record(Box<JobRecord>),
+    /// As it was accepted, in a pack.
+    Packed(Box<JobRecord>),
+    /// A continuation.
+    Chunk(u32, ChunkRecord),
+    /// The live record, or the one in a pack, cannot be read.
+    Unreadable,
+    /// The job is over.
+    Gone,
+}
+
+impl Owned {
+    /// A job's key changed. `old`: an earlier owner may have launched it.
+    pub fn job_event(
+        &mut self,
+        id: &JobId,
+        entry: &JobEntry,
+        stamp: Stamp,
+        old: bool,
+        now: Moment,
+        config: &Config,
+    ) {
+        match entry {
+            JobEntry::Record(record) => self.ledger.put_job(record, stamp, old, now, config),
+            JobEntry::Packed(record) => self.ledger.put_packed(record, stamp, old, now, config),
+            JobEntry::Chunk(n, record) => self.ledger.put_chunk(id, *n, record, stamp, config),
+            JobEntry::Unreadable => self.ledger.block_job(id),
+            JobEntry::Gone => {
+                let blocked = self.ledger.unreadable_jobs.contains(id);
+                let older = |j: &Job| j.stamp < stamp;
+                if blocked || self.ledger.jobs.get(id).is_some_and(older) {
+                    self.ledger.drop_job(id);
+                }
+            }
+        }
+    }
+}
+
+/// Reads a stored record; one that cannot be read is logged and left alone.
+pub fn read<T: serde::de::DeserializeOwned>(value: Option<&cbor::Value>, path: &str) -> Option<T> {
+    match cbor::from_value(value?) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            log::error!("record {path} cannot be read: {e}");
+            None
+        }
+    }
+}
+
+/// Reads a stored pack; jobs in it that cannot be read are logged.
+pub fn read_pack(value: &cbor::Value, path: &str) -> Option<PackRecord> {
+    match PackRecord::from_value(value) {
+        Ok(pack) => {
+            for record in &pack.unreadable {
+                let id = pulleywood_wire::pack::job_id(record);
+                let name = id.map_or("one".to_owned(), |id| id.to_string());
+                log::error!("record {path}: job {name} cannot be read");
+            }
+            Some(pack)
+        }
+        Err(e) => {
+            log::error!("record {path} cannot be read: {e}");
+            None
+        }
+    }
+}
+
+/// Reads a stored rack; machines in it that cannot be read are logged.
+pub fn read_rack(value: &cbor::Value, path: &str) -> Option<RackRecord> {
+    match RackRecord::from_value(value) {
+        Ok(rack) => {
+            for id in rack.unreadable.keys() {
+                log::error!("record {path}: machine {id} cannot be read");
+            }
+            Some(rack)
+        }
+        Err(e) => {
+            log::error!("record {path} cannot be read: {e}");
+            None
+        }
+    }
+}
--- a/crates/pulleywood/src/node/tests.rs
+++ b/crates/pulleywood/src/node/tests.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 use pulleywood_core::config::Policy;
+use pulleywood_wire::cbor;
+use pulleywood_wire::pack::PackRecord;
+use pulleywood_wire::rack::RackRecord;
+use pulleywood_wire::record::TaskSet;
+use pulleywood_wire::state::Event;
 use std::time::Duration;
 
 fn at(s: u64) -> Moment {
