--- a/crates/pulleywood-core/src/fleet/mod.rs
+++ b/crates/pulleywood-core/src/fleet/mod.rs
@@ -2,8 +2,8 @@
 //! waiting tasks lent, machines rented and given back.
 //!
 //! One round packs all waiting demand into the machines that are up or on their
-//! way ([`round`]), rents for what is left ([`rent`]) and gives back what nothing
-//! needs ([`give_back`], [`release`]).
+//! way (`round`), rents for what is left (`rent`) and gives back what nothing
+//! needs (`give_back`, `release`).
 
 mod bin;
 mod demand;
--- a/crates/pulleywood-net/src/cloud.rs
+++ b/crates/pulleywood-net/src/cloud.rs
@@ -33,7 +33,7 @@
     /// For reading machine types, which every controller does.
     own: Budget,
     /// For the coordinator, of which there is one.
-    office: Budget,
+    coordinator: Budget,
 }
 
 const CALL_TIME: Duration = Duration::from_secs(5);
@@ -49,19 +49,19 @@
 
 impl CloudClient {
     /// A client of the cloud at `addr`: `own` for this controller's calls,
-    /// `office` for those of the coordinator.
-    pub fn new(addr: SocketAddr, own: Budget, office: Budget) -> Self {
+    /// `coordinator` for those of the coordinator.
+    pub fn new(addr: SocketAddr, own: Budget, coordinator: Budget) -> Self {
         Self {
             client: Client::new(addr, 2),
             own,
-            office,
+            coordinator,
         }
     }
 
     /// This controller has become the coordinator: what another used up just
     /// before is not at hand.
-    pub fn take_office(&self) {
-        self.office.empty();
+    pub fn become_coordinator(&self) {
+        self.coordinator.empty();
     }
 
     fn send(
@@ -96,7 +96,13 @@
     /// repeated, never another under the same name.
     pub fn hire(&self, hire: &Hire) -> Result<Vec<MachineId>, CloudError> {
         let body = cbor::encode(hire);
-        let answer = self.send("POST", "/rentals", Some(&body), &self.office, Class::Owner)?;
+        let answer = self.send(
+            "POST",
+            "/rentals",
+            Some(&body),
+            &self.coordinator,
+            Class::Owner,
+        )?;
         cbor::decode::<Hired>(&answer.body)
             .map(|h| h.horses)
             .map_err(|e| CloudError::Unknown(e.to_string()))
@@ -108,7 +114,7 @@
             horses: machines.to_vec(),
         });
         let path = "/rentals/release";
-        self.send("POST", path, Some(&body), &self.office, Class::Owner)
+        self.send("POST", path, Some(&body), &self.coordinator, Class::Owner)
             .map(|_| ())
     }
 
@@ -124,7 +130,7 @@
                 .map(|r| format!("from={}&", r.machine))
                 .unwrap_or_default();
             let path = format!("/rentals?{from}page={LIST_PAGE}");
-            let answer = match self.send("GET", &path, None, &self.office, Class::User) {
+            let answer = match self.send("GET", &path, None, &self.coordinator, Class::User) {
                 // The rest follows when there are tokens again.
                 Err(CloudError::Budget) if listing.pages > begun => return Ok(None),
                 answer => answer?,
--- a/crates/pulleywood-recovery/src/lib.rs
+++ b/crates/pulleywood-recovery/src/lib.rs
@@ -6,7 +6,7 @@
 //! actions out through its ordinary paths, and `pulleywood inspect` prints them.
 //!
 //! - [`evidence`]: what a reconciliation rests on;
-//! - [`reconcile`]: one class, its evidence and one action for each machine and
+//! - [`mod@reconcile`]: one class, its evidence and one action for each machine and
 //!   each task;
 //! - [`orders`]: the orders that follow, in the order in which they are sent;
 //! - [`progress`]: how far a shard's recovery has come, from evidence alone;
--- a/crates/pulleywood/src/adopt.rs
+++ b/crates/pulleywood/src/adopt.rs
@@ -1,7 +1,7 @@
 //! Machines that are heard for the first time: their records are written, many
 //! in one transaction, before anything is launched on them.
 
-use crate::desk::{Desk, Joined};
+use crate::batch_queue::{BatchQueue, Joined};
 use crate::follow;
 use crate::node::Shared;
 use crate::owner::newest_term;
@@ -32,7 +32,7 @@
 }
 
 /// Machines that wait to be adopted.
-pub type Adoptions = Desk<Newcomer, bool>;
+pub type Adoptions = BatchQueue<Newcomer, bool>;
 
 /// Has a machine adopted by a part held here; whether its record is stored.
 pub fn join(shared: &Shared, report: &Report, part: PartId) -> bool {
--- a/crates/pulleywood/src/desk.rs
+++ b/crates/pulleywood/src/batch_queue.rs
@@ -1,5 +1,5 @@
-//! A desk at which threads leave what one transaction can carry out for many
-//! of them, and wait for what became of it.
+//! A queue in which threads leave what one transaction can carry out for many of
+//! them, and wait for what became of it.
 
 use parking_lot::{Condvar, Mutex};
 use std::collections::BTreeMap;
@@ -9,7 +9,7 @@
 const KEPT: u64 = 1000;
 
 /// Things of type `T` that wait for verdicts of type `V`.
-pub struct Desk<T, V> {
+pub struct BatchQueue<T, V> {
     state: Mutex<State<T, V>>,
     wake: Condvar,
     told: Condvar,
@@ -72,7 +72,7 @@
     Late,
 }
 
-impl<T, V> Default for Desk<T, V> {
+impl<T, V> Default for BatchQueue<T, V> {
     fn default() -> Self {
         Self {
             state: Mutex::new(State {
@@ -86,7 +86,7 @@
     }
 }
 
-impl<T, V> Desk<T, V> {
+impl<T, V> BatchQueue<T, V> {
     /// Nothing waits.
     pub fn is_empty(&self) -> bool {
         self.state.lock().waiting.is_empty()
--- a/crates/pulleywood/src/controller.rs
+++ b/crates/pulleywood/src/controller.rs
@@ -66,12 +66,12 @@
         // Machine types are read by each controller, now and then; all else is
         // the coordinator's, of which there is one.
         let types = CLOUD_TYPES_SHARE / members;
-        let office = RATE_SHARE - CLOUD_TYPES_SHARE;
+        let coordinator_share = RATE_SHARE - CLOUD_TYPES_SHARE;
         let cloud_rps = cluster.cloud.rps;
         let cloud = CloudClient::new(
             address(&settings.services.cloud)?,
             Budget::new(cloud_rps * types, 0.0, 2.0),
-            Budget::new(cloud_rps * office, 0.0, 2.0),
+            Budget::new(cloud_rps * coordinator_share, 0.0, 2.0),
         );
         let peers = settings
             .seeds
--- a/crates/pulleywood/src/coordinator.rs
+++ b/crates/pulleywood/src/coordinator.rs
@@ -26,7 +26,7 @@
 /// Machine types and prices are read again this often.
 const FLAVORS_EVERY: Duration = Duration::from_secs(120);
 
-struct Office {
+struct CoordinatorState {
     term: Term,
     stamp: Stamp,
     hires: u64,
@@ -41,14 +41,14 @@
     released: HashMap<MachineId, Moment>,
 }
 
-impl Office {
+impl CoordinatorState {
     /// Takes up the role under a term. A controller that could not act for a
     /// while may find itself in it under the same one: its request names go on
     /// from where they were, since a name that is used again rents nothing.
-    fn enter(former: Option<Office>, term: Term, stamp: Stamp) -> Office {
+    fn enter(former: Option<CoordinatorState>, term: Term, stamp: Stamp) -> CoordinatorState {
         let former = former.filter(|o| o.term == term);
         let (hires, pending) = former.map_or((0, Vec::new()), |o| (o.hires, o.pending));
-        Office {
+        CoordinatorState {
             term,
             stamp,
             hires,
@@ -72,7 +72,7 @@
 pub fn run(shared: &Arc<Shared>) {
     learn_flavors(shared);
     let mut learned = shared.clock.now();
-    let mut office: Option<Office> = None;
+    let mut coordinator: Option<CoordinatorState> = None;
     let mut acting = false;
     loop {
         std::thread::sleep(ROUND.mul_f64(0.9 + 0.2 * fastrand::f64()));
@@ -85,10 +85,10 @@
         }
         match hold_role(shared) {
             Ok(Some((term, stamp))) => {
-                if !acting || office.as_ref().is_none_or(|o| o.term != term) {
+                if !acting || coordinator.as_ref().is_none_or(|o| o.term != term) {
                     log::info!("coordinator under term {term}");
-                    shared.cloud.take_office();
-                    office = Some(Office::enter(office.take(), term, stamp));
+                    shared.cloud.become_coordinator();
+                    coordinator = Some(CoordinatorState::enter(coordinator.take(), term, stamp));
                     acting = true;
                 }
             }
@@ -101,9 +101,9 @@
                 continue;
             }
         }
-        if let Some(office) = &mut office {
-            balance(shared, office);
-            fleet_round(shared, office);
+        if let Some(coordinator) = &mut coordinator {
+            balance(shared, coordinator);
+            fleet_round(shared, coordinator);
         }
     }
 }
@@ -227,7 +227,7 @@
     }
 }
 
-fn balance(shared: &Arc<Shared>, office: &Office) {
+fn balance(shared: &Arc<Shared>, coordinator: &CoordinatorState) {
     let now = shared.clock.now();
     let (step, stored) = {
         let mut node = shared.node.lock();
@@ -261,7 +261,7 @@
         Some(Step::Shrink(part, to)) => ask_owner(shared, part, Ask::Shrink(part, to)),
         Some(Step::Grow(part, record)) => {
             // On every part's record, so that the sum it rests on still holds.
-            let mut commit = Commit::default().when(ROLE, office.stamp);
+            let mut commit = Commit::default().when(ROLE, coordinator.stamp);
             for (p, (_, stamp)) in &stored {
                 commit = commit.when(grant_key(*p), *stamp);
             }
@@ -296,26 +296,33 @@
     }
 }
 
-fn fleet_round(shared: &Arc<Shared>, office: &mut Office) {
+fn fleet_round(shared: &Arc<Shared>, coordinator: &mut CoordinatorState) {
     let now = shared.clock.now();
-    settle_pending(shared, office);
+    settle_pending(shared, coordinator);
     let lag = secs(shared.settings.cluster.cloud.list_lag_s);
     let every = lag.max(Duration::from_secs(3));
-    if office.listed_at.is_none_or(|at| now.since(at) >= every) {
-        match shared.cloud.rentals(&mut office.listing) {
+    if coordinator
+        .listed_at
+        .is_none_or(|at| now.since(at) >= every)
+    {
+        match shared.cloud.rentals(&mut coordinator.listing) {
             Ok(Some(list)) => {
-                office.list = list;
-                office.listed_at = Some(now);
+                coordinator.list = list;
+                coordinator.listed_at = Some(now);
             }
             Ok(None) => log::debug!("machine list: the rest follows"),
             Err(e) => log::debug!("machine list: {e}"),
         }
         let keep = lag * 3 + Duration::from_secs(60);
-        office.released.retain(|_, at| now.since(*at) < keep);
-        let released = &office.released;
-        office.list.retain(|r| !released.contains_key(&r.machine));
+        coordinator.released.retain(|_, at| now.since(*at) < keep);
+        let released = &coordinator.released;
+        coordinator
+            .list
+            .retain(|r| !released.contains_key(&r.machine));
     }
-    let fresh = office.listed_at.is_some_and(|at| now.since(at) < every * 2);
+    let fresh = coordinator
+        .listed_at
+        .is_some_and(|at| now.since(at) < every * 2);
     let actions = {
         let mut node = shared.node.lock();
         // While any part has no owner or an unknown one, its needs are not
@@ -332,7 +339,7 @@
             now,
             records: &records,
             parts: &parts,
-            list: fresh.then_some(&office.list[..]),
+            list: fresh.then_some(&coordinator.list[..]),
             // Users wait to submit: what lies idle is about to be needed.
             hold: shared.refusing(now)
                 || node
@@ -343,44 +350,44 @@
         drop(node);
         let config = &*config;
         log::debug!("{}", fleet::summary(config, &seen));
-        fleet::decide(config, &mut office.memory, &seen)
+        fleet::decide(config, &mut coordinator.memory, &seen)
     };
     // What the cloud does takes longest to show, so it is asked first.
     let (cloud, errands): (Vec<Action>, Vec<Action>) = actions
         .into_iter()
         .partition(|a| matches!(a, Action::Hire(..) | Action::Release(..)));
     for action in cloud {
-        act(shared, office, action);
+        act(shared, coordinator, action);
     }
     for machine in run_errands(shared, errands, now + ROUND) {
-        office.memory.not_moved(&machine);
+        coordinator.memory.not_moved(&machine);
     }
 }
 
 /// Most machines that one request rents.
 const MAX_HIRE: u32 = 50;
 
-fn act(shared: &Arc<Shared>, office: &mut Office, action: Action) {
+fn act(shared: &Arc<Shared>, coordinator: &mut CoordinatorState, action: Action) {
     let now = shared.clock.now();
     match action {
         Action::Release(machines, why) => {
             for batch in machines.chunks(100) {
-                release(shared, office, batch, why);
+                release(shared, coordinator, batch, why);
             }
         }
         Action::Hire(kind, count) => {
             let mut left = count;
-            while left > 0 && office.memory.open(&kind, now) {
+            while left > 0 && coordinator.memory.open(&kind, now) {
                 let how_many = left.min(MAX_HIRE);
                 left -= how_many;
                 let hire = Hire {
-                    hire: office.name(),
+                    hire: coordinator.name(),
                     rig: kind.flavor.clone(),
                     yard: kind.zone.clone(),
                     loaner: kind.spot,
                     how_many,
                 };
-                if !hire_now(shared, office, hire, now) {
+                if !hire_now(shared, coordinator, hire, now) {
                     return;
                 }
             }
@@ -454,15 +461,20 @@
 }
 
 /// Requests whose outcome is unknown are repeated under the same name.
-fn settle_pending(shared: &Arc<Shared>, office: &mut Office) {
+fn settle_pending(shared: &Arc<Shared>, coordinator: &mut CoordinatorState) {
     let now = shared.clock.now();
-    for hire in std::mem::take(&mut office.pending) {
-        hire_now(shared, office, hire, now);
+    for hire in std::mem::take(&mut coordinator.pending) {
+        hire_now(shared, coordinator, hire, now);
     }
 }
 
 /// Whether more may be rented now.
-fn hire_now(shared: &Arc<Shared>, office: &mut Office, hire: Hire, now: Moment) -> bool {
+fn hire_now(
+    shared: &Arc<Shared>,
+    coordinator: &mut CoordinatorState,
+    hire: Hire,
+    now: Moment,
+) -> bool {
     let kind = Kind {
         flavor: hire.rig.clone(),
         zone: hire.yard.clone(),
@@ -479,20 +491,20 @@
                 hire.loaner
             );
             if (machines.len() as u32) < hire.how_many {
-                office.memory.refused(&kind, now);
+                coordinator.memory.refused(&kind, now);
             } else {
-                office.memory.filled(&kind);
+                coordinator.memory.filled(&kind);
             }
-            office.memory.hired(&machines, &kind, now);
+            coordinator.memory.hired(&machines, &kind, now);
             return true;
         }
         Err(CloudError::NoCapacity) => {
             log::info!("no capacity for {kind:?}");
-            office.memory.refused(&kind, now);
+            coordinator.memory.refused(&kind, now);
         }
         Err(CloudError::Unknown(e)) => {
             log::debug!("rental {}: {e}", hire.hire);
-            office.pending.push(hire);
+            coordinator.pending.push(hire);
         }
         Err(e) => log::debug!("rental {}: {e}", hire.hire),
     }
@@ -501,7 +513,12 @@
 
 /// Releases machines; only the cloud's answer proves them gone, and only then
 /// are their records deleted, which sets their tasks free.
-fn release(shared: &Arc<Shared>, office: &mut Office, machines: &[MachineId], why: &str) {
+fn release(
+    shared: &Arc<Shared>,
+    coordinator: &mut CoordinatorState,
+    machines: &[MachineId],
+    why: &str,
+) {
     if let Err(e) = shared.cloud.release(machines) {
         log::debug!("release: {e}");
         return;
@@ -509,11 +526,11 @@
     log::info!("released {machines:?}: {why}");
     let now = shared.clock.now();
     for id in machines {
-        office.released.insert(id.clone(), now);
+        coordinator.released.insert(id.clone(), now);
     }
-    office.list.retain(|r| !machines.contains(&r.machine));
+    coordinator.list.retain(|r| !machines.contains(&r.machine));
     for _ in 0..TRIES {
-        if !forget_machines(shared, office.stamp, machines) {
+        if !forget_machines(shared, coordinator.stamp, machines) {
             return;
         }
     }
@@ -574,14 +591,14 @@
     fn names_of_rentals_never_repeat() {
         // (terms of the role, one after the other; names asked for under each)
         let mut seen = BTreeSet::new();
-        let mut office = None;
+        let mut coordinator = None;
         for (term, names) in [(20, 3), (20, 2), (21, 1), (21, 0), (21, 2)] {
-            let mut now = Office::enter(office.take(), Term(term), Stamp(term));
+            let mut now = CoordinatorState::enter(coordinator.take(), Term(term), Stamp(term));
             for _ in 0..names {
                 let name = now.name();
                 assert!(seen.insert(name.clone()), "{name} again under term {term}");
             }
-            office = Some(now);
+            coordinator = Some(now);
         }
     }
 }
--- a/crates/pulleywood/src/intake.rs
+++ b/crates/pulleywood/src/intake.rs
@@ -1,7 +1,7 @@
 //! Submissions that are accepted together, when there are more of them than
 //! tokens for writes.
 
-use crate::desk::{Desk, Joined};
+use crate::batch_queue::{BatchQueue, Joined};
 use crate::follow;
 use crate::node::Shared;
 use pulleywood_net::{Class, StateError};
@@ -21,7 +21,7 @@
 const FRAME: usize = 64;
 
 /// Submissions that wait.
-pub type Intake = Desk<Waiting, Verdict>;
+pub type Intake = BatchQueue<Waiting, Verdict>;
 
 /// One of them.
 pub struct Waiting {
--- a/crates/pulleywood/src/lib.rs
+++ b/crates/pulleywood/src/lib.rs
@@ -5,11 +5,11 @@
 //! the same name runs it as a daemon.
 
 mod adopt;
+mod batch_queue;
 mod batches;
 mod clock;
 mod controller;
 mod coordinator;
-mod desk;
 mod errands;
 mod follow;
 pub mod inspect;
--- a/crates/pulleywood/src/node/mod.rs
+++ b/crates/pulleywood/src/node/mod.rs
@@ -6,8 +6,8 @@
 mod watched;
 
 use crate::adopt::Adoptions;
+use crate::batch_queue::Pending;
 use crate::clock::Clock;
-use crate::desk::Pending;
 use crate::follow::Reads;
 use crate::intake::Intake;
 use parking_lot::{Condvar, Mutex};
--- a/crates/pulleywood/tests/stage/mod.rs
+++ b/crates/pulleywood/tests/cluster/mod.rs
@@ -86,7 +86,7 @@
     crate_.join("../../deploy/recovery.lua")
 }
 
-pub struct Stage {
+pub struct TestCluster {
     pub policies: Vec<std::path::PathBuf>,
     pub world: Arc<World>,
     pub state: StateService,
@@ -100,7 +100,7 @@
     pub cancel: Duration,
 }
 
-impl Drop for Stage {
+impl Drop for TestCluster {
     fn drop(&mut self) {
         for n in 0..CONTROLLERS {
             self.kill(n);
@@ -111,21 +111,21 @@
     }
 }
 
-impl Stage {
+impl TestCluster {
     /// Three controllers, a team limited to `limit` GPUs (0: none), and room
     /// for four machines of two GPUs each.
-    pub fn new(limit: f64) -> Stage {
-        Stage::with(limit, 200.0)
+    pub fn new(limit: f64) -> TestCluster {
+        TestCluster::with(limit, 200.0)
     }
 
     /// The same with `write_rps` writes a second to the state service.
-    pub fn with(limit: f64, write_rps: f64) -> Stage {
-        Stage::of(limit, write_rps, 2)
+    pub fn with(limit: f64, write_rps: f64) -> TestCluster {
+        TestCluster::of(limit, write_rps, 2)
     }
 
     /// The same with workers' leases of `lease` seconds.
-    pub fn of(limit: f64, write_rps: f64, lease: u32) -> Stage {
-        Stage::build(Options {
+    pub fn of(limit: f64, write_rps: f64, lease: u32) -> TestCluster {
+        TestCluster::build(Options {
             limit,
             write_rps,
             lease_s: lease.into(),
@@ -134,7 +134,7 @@
     }
 
     /// Whatever cluster is asked for.
-    pub fn build(options: Options) -> Stage {
+    pub fn build(options: Options) -> TestCluster {
         let Options {
             limit,
             write_rps,
@@ -184,7 +184,7 @@
             .enumerate()
             .map(|(n, a)| (MemberId::from(name(n).as_str()), *a))
             .collect();
-        let mut stage = Stage {
+        let mut cluster = TestCluster {
             world,
             state,
             cloud,
@@ -197,20 +197,20 @@
             policies,
         };
         for n in 0..CONTROLLERS {
-            let front = stage.state.front().unwrap();
+            let front = cluster.state.front().unwrap();
             let others: Vec<usize> = (0..CONTROLLERS).filter(|m| *m != n).collect();
             for &m in &others {
                 let relay = Relay::start(peers[m]).unwrap();
-                stage.relays.push((n, m, relay));
+                cluster.relays.push((n, m, relay));
             }
             let relay = |m: usize| {
-                let way = stage.relays.iter().find(|(a, b, _)| (*a, *b) == (n, m));
+                let way = cluster.relays.iter().find(|(a, b, _)| (*a, *b) == (n, m));
                 way.unwrap().2.addr
             };
             let settings = Settings {
                 member: name(n),
                 domain: "a".into(),
-                serve_on: stage.serve_on[n].to_string(),
+                serve_on: cluster.serve_on[n].to_string(),
                 cluster_listen: peers[n].to_string(),
                 seeds: others
                     .iter()
@@ -221,7 +221,7 @@
                     })
                     .collect(),
                 services: Services {
-                    cloud: stage.cloud.addr.to_string(),
+                    cloud: cluster.cloud.addr.to_string(),
                     state: front.addr.to_string(),
                 },
                 cluster: Cluster {
@@ -265,15 +265,15 @@
                 std::process::id()
             ));
             std::fs::write(&file, serde_json::to_string(&settings).unwrap()).unwrap();
-            stage.fronts.push(front);
-            stage.files.push(file);
-            stage.running.push(None);
-            stage.start(n);
+            cluster.fronts.push(front);
+            cluster.files.push(file);
+            cluster.running.push(None);
+            cluster.start(n);
         }
         for n in 0..CONTROLLERS {
-            stage.wait_ready(n);
+            cluster.wait_ready(n);
         }
-        stage
+        cluster
     }
 
     pub fn start(&mut self, n: usize) {
--- a/crates/pulleywood/tests/meetings.rs
+++ b/crates/pulleywood/tests/meetings.rs
@@ -1,14 +1,14 @@
 //! Two troubles at once: each test brings a meeting about that the operators
 //! named. The table in docs/design.md says what keeps the rules in it.
 
-mod stage;
+mod cluster;
 
+use cluster::{CONTROLLERS, LONG, SHORT, TestCluster, job, wait};
 use pulleywood_standins::Fault;
 use pulleywood_wire::cbor;
 use pulleywood_wire::job::{JobAnswer, JobStatus};
 use pulleywood_wire::record::JobRecord;
 use pulleywood_wire::{JobId, JobSpec, Shape};
-use stage::{CONTROLLERS, LONG, SHORT, Stage, job, wait};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::time::Duration;
@@ -30,21 +30,21 @@
 
 /// Cancels a job through any of some controllers; from then on its tasks have
 /// their time to be gone.
-fn cancel(stage: &Stage, through: &[usize], id: &JobId) {
+fn cancel(cluster: &TestCluster, through: &[usize], id: &JobId) {
     let path = format!("/v2/runs/{id}/cancel");
     wait("cancelled", || {
         through.iter().any(|&n| {
-            let (status, body) = stage.call(n, "POST", &path, None);
+            let (status, body) = cluster.call(n, "POST", &path, None);
             status == 200 && told(&body) == JobStatus::Cancelled
         })
     });
-    stage.world.told_cancelled(id, stage.cancel + SLACK);
+    cluster.world.told_cancelled(id, cluster.cancel + SLACK);
 }
 
 /// All tasks of a cancelled job are gone, and stay so.
-fn gone(stage: &Stage, id: &JobId) {
-    wait("gone", || stage.world.running(id) == 0);
-    stage.world.gone_for_good(id);
+fn gone(cluster: &TestCluster, id: &JobId) {
+    wait("gone", || cluster.world.running(id) == 0);
+    cluster.world.gone_for_good(id);
 }
 
 fn others(owner: usize) -> Vec<usize> {
@@ -53,39 +53,39 @@
 
 /// A service of four tasks, some of them lent to another part: every machine is
 /// half full, so that none can be moved to the job's own part.
-fn partly_lent(stage: &Stage, ids: &mut impl Iterator<Item = u64>) -> JobSpec {
+fn partly_lent(cluster: &TestCluster, ids: &mut impl Iterator<Item = u64>) -> JobSpec {
     let small: Vec<JobSpec> = ids.take(8).map(|n| service(n, 1)).collect();
     for spec in &small {
-        stage.submit(spec, LONG);
+        cluster.submit(spec, LONG);
     }
-    let run = |spec: &JobSpec| stage.world.running(&spec.id) == 1;
+    let run = |spec: &JobSpec| cluster.world.running(&spec.id) == 1;
     wait("all machines are full", || small.iter().all(run));
     let mut halves = BTreeMap::new();
     for spec in &small {
-        let on = stage.world.machines_of(&spec.id).pop_first();
+        let on = cluster.world.machines_of(&spec.id).pop_first();
         halves.entry(on).or_insert(&spec.id);
     }
     for id in halves.into_values() {
-        cancel(stage, &[0, 1, 2], id);
-        gone(stage, id);
+        cancel(cluster, &[0, 1, 2], id);
+        gone(cluster, id);
     }
     let mut wide = service(ids.next().unwrap(), 4);
-    stage.submit(&wide, LONG);
+    cluster.submit(&wide, LONG);
     let lent = |id: &JobId| {
-        let records = stage.state.values("c/job/");
+        let records = cluster.state.values("c/job/");
         let mut records = records.iter().filter_map(|v| cbor::from_value(v).ok());
         records.any(|r: JobRecord| r.spec.id == *id && !r.lent.is_empty())
     };
     // All four machines may be of the part that it came to: the next one may
     // come to another.
     wait("lent", || {
-        if stage.world.running(&wide.id) == 4 && !lent(&wide.id) {
-            cancel(stage, &[0, 1, 2], &wide.id);
-            gone(stage, &wide.id);
+        if cluster.world.running(&wide.id) == 4 && !lent(&wide.id) {
+            cancel(cluster, &[0, 1, 2], &wide.id);
+            gone(cluster, &wide.id);
             wide = service(ids.next().unwrap(), 4);
-            stage.submit(&wide, LONG);
+            cluster.submit(&wide, LONG);
         }
-        stage.world.running(&wide.id) == 4 && lent(&wide.id)
+        cluster.world.running(&wide.id) == 4 && lent(&wide.id)
     });
     wide
 }
@@ -95,34 +95,34 @@
     // The gap, twice in a row, for each controller as the refused one, with
     // tasks that were lent: the outage is longer than `cancel_s`.
     let play = |owner: usize| {
-        let stage = Stage::new(0.0);
+        let cluster = TestCluster::new(0.0);
         let mut ids = 1..;
-        let mut spec = partly_lent(&stage, &mut ids);
+        let mut spec = partly_lent(&cluster, &mut ids);
         for round in 0..2 {
-            stage.fronts[owner].set(Fault::Refuse);
-            cancel(&stage, &others(owner), &spec.id);
-            stage.set_all(Fault::Refuse);
-            gone(&stage, &spec.id);
+            cluster.fronts[owner].set(Fault::Refuse);
+            cancel(&cluster, &others(owner), &spec.id);
+            cluster.set_all(Fault::Refuse);
+            gone(&cluster, &spec.id);
             // Whoever still answered workers has stopped.
-            wait("all lapsed", || stage.world.on_machines() == 0);
+            wait("all lapsed", || cluster.world.on_machines() == 0);
             for n in 0..CONTROLLERS {
-                let (status, _) = stage.call(n, "GET", &format!("/v2/runs/{}", spec.id), None);
+                let (status, _) = cluster.call(n, "GET", &format!("/v2/runs/{}", spec.id), None);
                 assert!([200, 429, 503].contains(&status), "{status}");
             }
-            stage.state.extend_leases();
-            stage.set_all(Fault::None);
+            cluster.state.extend_leases();
+            cluster.set_all(Fault::None);
             for n in 0..CONTROLLERS {
                 wait("told", || {
-                    stage.status(n, &spec.id) == Some(JobStatus::Cancelled)
+                    cluster.status(n, &spec.id) == Some(JobStatus::Cancelled)
                 });
             }
             if round == 0 {
                 spec = service(ids.next().unwrap(), 4);
-                stage.submit(&spec, LONG);
-                wait("all run", || stage.world.running(&spec.id) == 4);
+                cluster.submit(&spec, LONG);
+                wait("all run", || cluster.world.running(&spec.id) == 4);
             }
         }
-        stage.finish();
+        cluster.finish();
     };
     std::thread::scope(|scope| {
         for owner in 0..CONTROLLERS {
@@ -167,23 +167,23 @@
     // before a job is accepted until it is over; some cancel at once, some at the
     // end of the last task.
     for fault in [Fault::None, Fault::LoseAnswers, Fault::Slow(120)] {
-        let stage = Stage::new(0.0);
+        let cluster = TestCluster::new(0.0);
         for n in 1..=6 {
             let spec = job(n, 2);
-            stage.world.add_job(spec.clone(), SHORT);
+            cluster.world.add_job(spec.clone(), SHORT);
             // One controller's way is bad.
-            stage.fronts[n as usize % CONTROLLERS].set(fault);
+            cluster.fronts[n as usize % CONTROLLERS].set(fault);
             let heard = Heard {
                 best: AtomicU8::new(0),
                 over: AtomicBool::new(false),
             };
-            let (stage, heard, spec) = (&stage, &heard, &spec);
+            let (cluster, heard, spec) = (&cluster, &heard, &spec);
             let poll = format!("/v2/runs/{}", spec.id);
             let withdraw = format!("{poll}/cancel");
             let body = cbor::encode(spec);
             let ask = |n: usize, method: &str, path: &str, body: Option<&[u8]>| {
                 let floor = heard.floor();
-                let (status, answer) = stage.call(n, method, path, body);
+                let (status, answer) = cluster.call(n, method, path, body);
                 heard.take(floor, status, &answer, &format!("{method} {path} at {n}"));
                 status
             };
@@ -209,14 +209,14 @@
                     }
                     1 => {
                         // At the end of its last task.
-                        wait("ended", || stage.world.is_done(&spec.id));
+                        wait("ended", || cluster.world.is_done(&spec.id));
                         wait("cancelled", || ask(node, "POST", &withdraw, None) == 200);
                     }
                     _ => {}
                 }
                 wait("over", || heard.floor() >= 2);
-                stage.set_all(Fault::None);
-                let known = |n| stage.status(n, &spec.id);
+                cluster.set_all(Fault::None);
+                let known = |n| cluster.status(n, &spec.id);
                 wait("told by all", || {
                     let all: Vec<_> = (0..CONTROLLERS).map(known).collect();
                     all.iter().all(|s| {
@@ -226,35 +226,35 @@
                 heard.over.store(true, Ordering::Relaxed);
             });
         }
-        stage.finish();
+        cluster.finish();
     }
 }
 
 #[test]
 fn bad_submissions_are_refused_in_the_midst_of_troubles_and_good_ones_never() {
-    let stage = Stage::new(2.0);
+    let cluster = TestCluster::new(2.0);
     let good = job(1, 2);
-    stage.submit(&good, LONG);
+    cluster.submit(&good, LONG);
     let lacking = cbor::encode(&BTreeMap::from([("uid", "j-000002")]));
     let mut wide = service(3, 3);
     wide.id = JobId::parse("j-000003").unwrap();
     let wide = cbor::encode(&wide);
     let good = cbor::encode(&good);
     for fault in [Fault::None, Fault::Refuse, Fault::LoseAnswers, Fault::None] {
-        stage.set_all(fault);
+        cluster.set_all(fault);
         for n in 0..CONTROLLERS {
             for _ in 0..2 {
-                assert_eq!(stage.call(n, "POST", "/v2/runs", Some(&lacking)).0, 400);
-                let (status, _) = stage.call(n, "POST", "/v2/runs", Some(&wide));
+                assert_eq!(cluster.call(n, "POST", "/v2/runs", Some(&lacking)).0, 400);
+                let (status, _) = cluster.call(n, "POST", "/v2/runs", Some(&wide));
                 assert!([422, 429, 503].contains(&status), "{fault:?}: {status}");
-                let (status, _) = stage.call(n, "POST", "/v2/runs", Some(&good));
+                let (status, _) = cluster.call(n, "POST", "/v2/runs", Some(&good));
                 assert!([200, 429, 503].contains(&status), "{fault:?}: {status}");
             }
         }
-        stage.state.extend_leases();
+        cluster.state.extend_leases();
     }
-    stage.wait_done(&JobId::parse("j-000001").unwrap());
-    stage.finish();
+    cluster.wait_done(&JobId::parse("j-000001").unwrap());
+    cluster.finish();
 }
 
 #[test]
@@ -264,35 +264,35 @@
     // jobs that come later, which need not wait for what earlier ones may run. The
     // lease leaves time to rent other machines while the tasks are still there.
     for keep_owners in [true, false] {
-        let mut stage = Stage::of(4.0, 200.0, 10);
+        let mut cluster = TestCluster::of(4.0, 200.0, 10);
         let spec = service(1, 4);
-        stage.submit(&spec, LONG);
-        wait("all run", || stage.world.running(&spec.id) == 4);
-        for machine in stage.world.machines_of(&spec.id) {
-            stage.cloud.worker(&machine).unwrap().set_cut(true);
+        cluster.submit(&spec, LONG);
+        wait("all run", || cluster.world.running(&spec.id) == 4);
+        for machine in cluster.world.machines_of(&spec.id) {
+            cluster.cloud.worker(&machine).unwrap().set_cut(true);
         }
-        cancel(&stage, &[0, 1, 2], &spec.id);
+        cancel(&cluster, &[0, 1, 2], &spec.id);
         for n in (0..CONTROLLERS).filter(|_| !keep_owners) {
-            stage.kill(n);
-            stage.start(n);
+            cluster.kill(n);
+            cluster.start(n);
         }
         let next = job(2, 4);
-        stage.submit(&next, SHORT);
-        gone(&stage, &spec.id);
-        stage.wait_done(&next.id);
-        stage.finish();
+        cluster.submit(&next, SHORT);
+        gone(&cluster, &spec.id);
+        cluster.wait_done(&next.id);
+        cluster.finish();
     }
 }
 
 #[test]
 fn jobs_cancelled_while_their_part_changes_hands_are_gone_for_good() {
-    let mut stage = Stage::new(0.0);
+    let mut cluster = TestCluster::new(0.0);
     let specs: Vec<JobSpec> = (1..=6).map(|n| service(n, 1)).collect();
     for spec in &specs {
-        stage.submit(spec, LONG);
+        cluster.submit(spec, LONG);
     }
     wait("all run", || {
-        let run = |s: &JobSpec| stage.world.running(&s.id) == 1;
+        let run = |s: &JobSpec| cluster.world.running(&s.id) == 1;
         specs.iter().all(run)
     });
     for (round, spec) in specs.iter().enumerate() {
@@ -300,21 +300,21 @@
         // Ended and back at once, or a part given away and taken back.
         match round % 2 {
             0 => {
-                stage.kill(owner);
-                stage.start(owner);
+                cluster.kill(owner);
+                cluster.start(owner);
             }
-            _ => stage.fronts[owner].set(Fault::Refuse),
+            _ => cluster.fronts[owner].set(Fault::Refuse),
         }
-        cancel(&stage, &others(owner), &spec.id);
-        stage.fronts[owner].set(Fault::None);
+        cancel(&cluster, &others(owner), &spec.id);
+        cluster.fronts[owner].set(Fault::None);
     }
     for spec in &specs {
-        gone(&stage, &spec.id);
+        gone(&cluster, &spec.id);
     }
     let next = job(7, 8);
-    stage.submit(&next, SHORT);
-    stage.wait_done(&next.id);
-    stage.finish();
+    cluster.submit(&next, SHORT);
+    cluster.wait_done(&next.id);
+    cluster.finish();
 }
 
 #[test]
@@ -322,20 +322,20 @@
     // Work goes to machines that are just up, while transactions are carried out
     // late; then the owners end, and a machine with tasks falls silent. Its lease
     // leaves time to rent another while they are still on it.
-    let mut stage = Stage::of(0.0, 200.0, 6);
-    stage.set_all(Fault::SomeLate(600));
+    let mut cluster = TestCluster::of(0.0, 200.0, 6);
+    cluster.set_all(Fault::SomeLate(600));
     let spec = job(1, 4);
-    stage.submit(&spec, Duration::from_secs(8));
-    wait("running", || stage.world.running(&spec.id) > 0);
-    let machine = stage.world.machines_of(&spec.id).pop_first().unwrap();
-    stage.cloud.worker(&machine).unwrap().set_cut(true);
+    cluster.submit(&spec, Duration::from_secs(8));
+    wait("running", || cluster.world.running(&spec.id) > 0);
+    let machine = cluster.world.machines_of(&spec.id).pop_first().unwrap();
+    cluster.cloud.worker(&machine).unwrap().set_cut(true);
     for n in 0..CONTROLLERS {
-        stage.kill(n);
-        stage.start(n);
+        cluster.kill(n);
+        cluster.start(n);
     }
-    stage.set_all(Fault::None);
-    stage.wait_done(&spec.id);
-    stage.finish();
+    cluster.set_all(Fault::None);
+    cluster.wait_done(&spec.id);
+    cluster.finish();
 }
 
 #[test]
@@ -343,31 +343,31 @@
     // One to accept it, two that end it: its live record goes, its final state
     // comes. A quarter is cancelled.
     const JOBS: u64 = 48;
-    let stage = Stage::new(0.0);
+    let cluster = TestCluster::new(0.0);
     let first = job(1000, 8);
-    stage.submit(&first, SHORT);
-    stage.wait_done(&first.id);
-    let before = stage.state.writes();
+    cluster.submit(&first, SHORT);
+    cluster.wait_done(&first.id);
+    let before = cluster.state.writes();
     for n in 1..=JOBS {
         let spec = match n % 4 {
             0 => service(n, 1),
             _ => job(n, 1),
         };
-        stage.submit(&spec, SHORT);
+        cluster.submit(&spec, SHORT);
         if n % 4 == 0 {
-            cancel(&stage, &[(n / 4) as usize % CONTROLLERS], &spec.id);
+            cancel(&cluster, &[(n / 4) as usize % CONTROLLERS], &spec.id);
         }
     }
     for n in 1..=JOBS {
         let id = job(n, 1).id;
         match n % 4 {
-            0 => gone(&stage, &id),
-            _ => stage.wait_done(&id),
+            0 => gone(&cluster, &id),
+            _ => cluster.wait_done(&id),
         }
     }
-    let writes = stage.state.writes() - before;
+    let writes = cluster.state.writes() - before;
     // Machines moved between parts, their images, grants: a few.
     assert!(writes <= 3 * JOBS + JOBS / 2, "{writes} writes");
-    assert!(stage.state.keys("c/job/").is_empty());
-    stage.finish();
+    assert!(cluster.state.keys("c/job/").is_empty());
+    cluster.finish();
 }
--- a/crates/pulleywood/tests/recovery.rs
+++ b/crates/pulleywood/tests/recovery.rs
@@ -1,30 +1,31 @@
 //! Real controllers that all end and start again, with the recovery subsystem.
 
-mod stage;
+mod cluster;
 
+use cluster::{CONTROLLERS, LONG, Options, SHORT, TestCluster, job, recovery_policy, wait};
 use pulleywood_standins::history::{Expected, check};
 use pulleywood_wire::cbor;
 use pulleywood_wire::job::{JobAnswer, JobStatus};
 use pulleywood_wire::record::{JobRecord, TERM, TermRecord, job_key};
+use pulleywood_wire::worker::Report;
 use pulleywood_wire::{JobId, JobSpec, MachineId, PartId, Shape, TaskId, Term};
-use stage::{CONTROLLERS, LONG, Options, SHORT, Stage, job, recovery_policy, wait};
 use std::collections::BTreeSet;
 use std::process::{Command, Output};
 use std::time::Duration;
 
-fn with_recovery(options: Options) -> Stage {
-    Stage::build(Options {
+fn with_recovery(options: Options) -> TestCluster {
+    TestCluster::build(Options {
         policies: vec![recovery_policy()],
         ..options
     })
 }
 
-fn restart_all(stage: &mut Stage) {
+fn restart_all(cluster: &mut TestCluster) {
     for n in 0..CONTROLLERS {
-        stage.kill(n);
+        cluster.kill(n);
     }
     for n in 0..CONTROLLERS {
-        stage.start(n);
+        cluster.start(n);
     }
 }
 
@@ -41,7 +42,7 @@
 #[test]
 fn a_cold_start_keeps_what_runs_and_launches_only_what_was_lost() {
     let workers: usize = std::env::var(WORKERS).map_or(24, |n| n.parse().unwrap());
-    let mut stage = with_recovery(Options {
+    let mut cluster = with_recovery(Options {
         lease_s: 12.0,
         report_s: (workers as f64 / 200.0).clamp(0.2, 1.0),
         machines: workers,
@@ -53,110 +54,111 @@
     service.shape = Shape::Service;
     let array = job(2, workers as u32 / 2);
     let short = job(3, 4);
-    stage.submit(&service, LONG);
-    stage.submit(&array, Duration::from_secs(3600));
-    stage.submit(&short, LONG);
+    cluster.submit(&service, LONG);
+    cluster.submit(&array, Duration::from_secs(3600));
+    cluster.submit(&short, LONG);
     let all = [&service, &array, &short];
-    let running = |stage: &Stage| -> usize { all.iter().map(|s| stage.world.running(&s.id)).sum() };
+    let running =
+        |cluster: &TestCluster| -> usize { all.iter().map(|s| cluster.world.running(&s.id)).sum() };
     let expected: usize = all.iter().map(|s| s.tasks as usize).sum();
-    wait("all run", || running(&stage) == expected);
-    let machines: BTreeSet<MachineId> = stage
+    wait("all run", || running(&cluster) == expected);
+    let machines: BTreeSet<MachineId> = cluster
         .world
         .machines_of(&service.id)
         .into_iter()
-        .chain(stage.world.machines_of(&array.id))
+        .chain(cluster.world.machines_of(&array.id))
         .collect();
-    let before = stage.world.starts(&service.id) + stage.world.starts(&array.id);
+    let before = cluster.world.starts(&service.id) + cluster.world.starts(&array.id);
     for n in 0..CONTROLLERS {
-        stage.kill(n);
+        cluster.kill(n);
     }
     // Machines are lost, and tasks end, while nobody is there to notice.
     let lost: Vec<MachineId> = machines.iter().step_by(8).cloned().collect();
     let lost_tasks: usize = {
-        let on = stage.world.on_machines();
+        let on = cluster.world.on_machines();
         for machine in &lost {
-            stage.cloud.worker(machine).unwrap().take();
+            cluster.cloud.worker(machine).unwrap().take();
         }
-        on - stage.world.on_machines()
+        on - cluster.world.on_machines()
     };
     assert!(lost_tasks > 0);
-    wait("ended unnoticed", || stage.world.is_done(&short.id));
+    wait("ended unnoticed", || cluster.world.is_done(&short.id));
     for n in 0..CONTROLLERS {
-        stage.start(n);
+        cluster.start(n);
     }
     let kept = (service.tasks + array.tasks) as usize;
-    wait("all run again", || running(&stage) == kept);
-    stage.wait_done(&short.id);
+    wait("all run again", || running(&cluster) == kept);
+    cluster.wait_done(&short.id);
     // What was lost runs again once, and nothing else was touched.
-    let starts = stage.world.starts(&service.id) + stage.world.starts(&array.id) - before;
+    let starts = cluster.world.starts(&service.id) + cluster.world.starts(&array.id) - before;
     assert!(
         starts as usize <= lost_tasks,
         "{starts} starts, {lost_tasks} lost"
     );
-    let (history, end) = stage.world.history();
+    let (history, end) = cluster.world.history();
     let expected = Expected {
-        cancel_ms: stage.cancel.as_millis() as u64,
+        cancel_ms: cluster.cancel.as_millis() as u64,
         served: all.iter().flat_map(|s| tasks_of(s)).collect(),
         recorded: tasks_of(&short).collect(),
         end,
         ..Expected::default()
     };
     assert_eq!(check(&history, &expected), []);
-    stage.finish();
+    cluster.finish();
 }
 
 #[test]
 fn a_state_service_restored_from_an_older_copy_gets_its_counter_raised() {
-    let mut stage = with_recovery(Options::default());
+    let mut cluster = with_recovery(Options::default());
     let first = job(1, 4);
-    stage.submit(&first, LONG);
-    wait("running", || stage.world.running(&first.id) == 4);
-    let backup = stage.state.backup();
-    let counter = |stage: &Stage| -> Term {
-        let values = stage.state.values(TERM);
+    cluster.submit(&first, LONG);
+    wait("running", || cluster.world.running(&first.id) == 4);
+    let backup = cluster.state.backup();
+    let counter = |cluster: &TestCluster| -> Term {
+        let values = cluster.state.values(TERM);
         cbor::from_value::<TermRecord>(&values[0]).unwrap().last
     };
-    let old = counter(&stage);
+    let old = counter(&cluster);
     // Each round of take-overs draws terms that the copy has never issued.
     for _ in 0..3 {
-        let before = counter(&stage);
-        restart_all(&mut stage);
+        let before = counter(&cluster);
+        restart_all(&mut cluster);
         let shards = CONTROLLERS as u64;
-        wait("taken anew", || counter(&stage).0 >= before.0 + shards);
+        wait("taken anew", || counter(&cluster).0 >= before.0 + shards);
         for n in 0..CONTROLLERS {
-            stage.wait_ready(n);
+            cluster.wait_ready(n);
         }
     }
-    stage.wait_done(&first.id);
-    let newest = counter(&stage);
+    cluster.wait_done(&first.id);
+    let newest = counter(&cluster);
     for n in 0..CONTROLLERS {
-        stage.kill(n);
+        cluster.kill(n);
     }
-    stage.state.restore(&backup);
-    assert_eq!(counter(&stage), old);
+    cluster.state.restore(&backup);
+    assert_eq!(counter(&cluster), old);
     for n in 0..CONTROLLERS {
-        stage.start(n);
+        cluster.start(n);
     }
-    wait("raised", || counter(&stage) > newest);
+    wait("raised", || counter(&cluster) > newest);
     // Workers obey again: what is submitted now runs.
     let second = job(2, 4);
-    stage.submit(&second, SHORT);
-    stage.wait_done(&second.id);
+    cluster.submit(&second, SHORT);
+    cluster.wait_done(&second.id);
 }
 
 #[test]
 fn the_audit_takes_up_a_job_that_no_owner_was_told_of() {
     let fast = std::env::temp_dir().join(format!("pulleywood-audit-{}.lua", std::process::id()));
     std::fs::write(&fast, "return { recovery = { audit_every_s = 0.2 } }").unwrap();
-    let stage = Stage::build(Options {
+    let cluster = TestCluster::build(Options {
         policies: vec![recovery_policy(), fast.clone()],
         ..Options::default()
     });
     let told = job(1, 1);
-    stage.submit(&told, SHORT);
-    stage.wait_done(&told.id);
+    cluster.submit(&told, SHORT);
+    cluster.wait_done(&told.id);
     let untold = job(2, 2);
-    stage.world.add_job(untold.clone(), SHORT);
+    cluster.world.add_job(untold.clone(), SHORT);
     let record = JobRecord {
         spec: untold.clone(),
         at_ms: 0,
@@ -166,45 +168,83 @@
     };
     let shards = CONTROLLERS as u32;
     let key = job_key(untold.id.part(shards), &untold.id);
-    stage.state.put_unseen(&key, &record);
-    wait("taken up", || stage.world.is_done(&untold.id));
-    stage.wait_done(&untold.id);
+    cluster.state.put_unseen(&key, &record);
+    wait("taken up", || cluster.world.is_done(&untold.id));
+    cluster.wait_done(&untold.id);
     std::fs::remove_file(&fast).unwrap();
-    stage.finish();
+    cluster.finish();
 }
 
 #[test]
 fn a_record_that_cannot_be_read_is_left_as_it_is_and_its_job_stays_known() {
-    let mut stage = with_recovery(Options::default());
+    let mut cluster = with_recovery(Options::default());
     let shards = CONTROLLERS as u32;
     let id = JobId::parse("j-000077").unwrap();
     let key = job_key(id.part(shards), &id);
-    stage.state.put_unseen(&key, &"a record of a later release");
-    restart_all(&mut stage);
+    cluster
+        .state
+        .put_unseen(&key, &"a record of a later release");
+    restart_all(&mut cluster);
     for n in 0..CONTROLLERS {
-        stage.wait_ready(n);
+        cluster.wait_ready(n);
     }
     let good = job(1, 4);
-    stage.submit(&good, SHORT);
-    stage.wait_done(&good.id);
+    cluster.submit(&good, SHORT);
+    cluster.wait_done(&good.id);
     for n in 0..CONTROLLERS {
         let mut answer = (0, Vec::new());
         wait("answered", || {
-            answer = stage.call(n, "GET", "/v2/runs/j-000077", None);
+            answer = cluster.call(n, "GET", "/v2/runs/j-000077", None);
             answer.0 != 503
         });
         assert_eq!(answer.0, 200, "it is not forgotten");
         let told: JobAnswer = cbor::decode(&answer.1).unwrap();
         assert_eq!(told.status, JobStatus::Queued);
     }
-    assert_eq!(stage.state.keys(&key), [key.as_str()]);
-    stage.finish();
+    assert_eq!(cluster.state.keys(&key), [key.as_str()]);
+    cluster.finish();
 }
 
-fn inspect(stage: &Stage, more: &[&str]) -> Output {
+#[test]
+fn a_worker_that_shows_an_impossible_term_stops_no_launches() {
+    // Taken in under a term above it, the counter would have come to where no
+    // attempt can be named any more.
+    let cluster = with_recovery(Options::default());
+    // Every shard is held, or no report is taken in at all.
+    let held = || cluster.state.keys("c/part/").len() == CONTROLLERS;
+    wait("held", held);
+    let first = job(2, 2);
+    cluster.submit(&first, SHORT);
+    cluster.wait_done(&first.id);
+    for term in [Term::LAST.0, u64::MAX / 4] {
+        let report = Report {
+            machine: MachineId::from("vm-900000"),
+            endpoint: "127.0.0.1:9".into(),
+            flavor: "g2".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: 1,
+            term: Term(term),
+            notice_s: None,
+            tasks: vec![],
+        };
+        let body = cbor::encode(&report);
+        for n in 0..CONTROLLERS {
+            let (status, _) = cluster.call(n, "POST", "/v1/report", Some(&body));
+            assert_ne!(status, 200, "{term}");
+        }
+    }
+    let good = job(1, 4);
+    cluster.submit(&good, SHORT);
+    cluster.wait_done(&good.id);
+    cluster.finish();
+}
+
+fn inspect(cluster: &TestCluster, more: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_pulleywood"))
         .args(["inspect", "--config"])
-        .arg(&stage.files[0])
+        .arg(&cluster.files[0])
         .args(more)
         .env("LOG_LEVEL", "error")
         .output()
@@ -213,44 +253,44 @@
 
 #[test]
 fn inspect_tells_what_a_recovery_would_do_and_changes_nothing() {
-    let mut stage = with_recovery(Options {
+    let mut cluster = with_recovery(Options {
         lease_s: 30.0,
         ..Options::default()
     });
     let spec = job(1, 4);
-    stage.submit(&spec, Duration::from_secs(3600));
-    wait("running", || stage.world.running(&spec.id) == 4);
-    let calm = inspect(&stage, &[]);
+    cluster.submit(&spec, Duration::from_secs(3600));
+    wait("running", || cluster.world.running(&spec.id) == 4);
+    let calm = inspect(&cluster, &[]);
     let text = String::from_utf8_lossy(&calm.stdout).into_owned();
     assert_eq!(calm.status.code(), Some(0), "{text}");
     assert!(text.contains("workers were not asked"), "{text}");
     for n in 0..CONTROLLERS {
-        stage.kill(n);
+        cluster.kill(n);
     }
-    let nobody = |stage: &Stage| {
-        let output = inspect(stage, &["--json"]);
+    let nobody = |cluster: &TestCluster| {
+        let output = inspect(cluster, &["--json"]);
         let json: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
         let shards = json["shards"].as_array().unwrap();
         shards.iter().all(|s| s["holder"].is_null())
     };
-    wait("their leases ran out", || nobody(&stage));
-    let starts = stage.world.starts(&spec.id);
-    let writes = stage.state.writes();
-    let output = inspect(&stage, &["--json", "--ask-workers"]);
+    wait("their leases ran out", || nobody(&cluster));
+    let starts = cluster.world.starts(&spec.id);
+    let writes = cluster.state.writes();
+    let output = inspect(&cluster, &["--json", "--ask-workers"]);
     assert_eq!(output.status.code(), Some(1), "nobody holds any shard");
     let json: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
     assert_eq!(json["tasks"]["matched"], 4, "{json}");
     assert_eq!(json["orders"]["launches"], 0);
     assert_eq!(json["shards"][0]["holder"], serde_json::Value::Null);
-    assert_eq!(stage.state.writes(), writes);
+    assert_eq!(cluster.state.writes(), writes);
     // The workers go on with what they had.
     for n in 0..CONTROLLERS {
-        stage.start(n);
-        stage.wait_ready(n);
+        cluster.start(n);
+        cluster.wait_ready(n);
     }
     let next = job(2, 2);
-    stage.submit(&next, SHORT);
-    stage.wait_done(&next.id);
-    assert_eq!(stage.world.starts(&spec.id), starts);
-    stage.finish();
+    cluster.submit(&next, SHORT);
+    cluster.wait_done(&next.id);
+    assert_eq!(cluster.world.starts(&spec.id), starts);
+    cluster.finish();
 }
--- a/crates/pulleywood/tests/scale.rs
+++ b/crates/pulleywood/tests/scale.rs
@@ -1,14 +1,14 @@
 //! Many machines against one controller that carries every shard: what it writes,
 //! holds and starts is counted.
 
-mod stage;
+mod cluster;
 
+use cluster::{Options, TestCluster, wait};
 use parking_lot::Mutex;
 use pulleywood_net::Client;
 use pulleywood_wire::cbor;
 use pulleywood_wire::worker::{Report, ReportAnswer};
 use pulleywood_wire::{MachineId, Term};
-use stage::{Options, Stage, wait};
 use std::time::Duration;
 
 /// Machines of the large run are set by this variable; CI plays a smaller one.
@@ -81,14 +81,14 @@
 #[test]
 fn one_controller_takes_in_and_answers_every_machine_within_its_bounds() {
     let machines: usize = std::env::var(MACHINES).map_or(400, |n| n.parse().unwrap());
-    let mut stage = Stage::build(Options {
+    let mut cluster = TestCluster::build(Options {
         sockets: 2000,
         lease_s: 6.0,
         ..Options::default()
     });
     // The others end: one carries all shards.
-    for n in 1..stage::CONTROLLERS {
-        stage.kill(n);
+    for n in 1..cluster::CONTROLLERS {
+        cluster.kill(n);
     }
     let mut reporters: Vec<Reporter> = (0..machines)
         .map(|n| Reporter {
@@ -104,14 +104,14 @@
                 notice_s: None,
                 tasks: vec![],
             },
-            client: Client::new(stage.serve_on[0], 1),
+            client: Client::new(cluster.serve_on[0], 1),
         })
         .collect();
     let probe = &mut reporters[..1];
     all_report(probe);
-    let writes = stage.state.writes();
+    let writes = cluster.state.writes();
     all_report(&mut reporters);
-    let adopted = stage.state.writes() - writes;
+    let adopted = cluster.state.writes() - writes;
     // Each transaction writes a value of records and the head; values that were
     // not full when they were written are joined later.
     let least = 2 * machines.div_ceil(SHARED) as u64;
@@ -120,7 +120,7 @@
         "{adopted} writes, {least} at the least"
     );
     let late = all_report(&mut reporters);
-    let pid = stage.running[0].as_ref().unwrap().id();
+    let pid = cluster.running[0].as_ref().unwrap().id();
     let (threads, sockets) = (threads_of(pid), sockets_of(pid));
     println!(
         "{machines} machines: {adopted} writes to take them in, {threads} threads, {sockets} \
@@ -130,7 +130,7 @@
     assert!(sockets <= 2000, "{sockets} sockets");
     // All of them have a record.
     wait("recorded", || {
-        let racks = stage.state.values("c/rack/");
+        let racks = cluster.state.values("c/rack/");
         let recorded = racks.iter().map(|rack| {
             let rack = pulleywood_wire::rack::RackRecord::from_value(rack).unwrap();
             rack.machines.len()
