--- a/crates/pulleywood-recovery/tests/common/mod.rs
+++ b/crates/pulleywood-recovery/tests/common/mod.rs
@@ -2,21 +2,16 @@
 #![allow(dead_code, reason = "each test file uses its share")]
 
 use pulleywood_core::Config;
-use pulleywood_core::config::{Policy, Team};
-use pulleywood_wire::cbor::{self, Amount};
-use pulleywood_wire::cloud::Flavor;
+use pulleywood_standins::samples;
+use pulleywood_wire::cbor::{self};
 use pulleywood_wire::rack::RackRecord;
 use pulleywood_wire::record::{
-    Holder, JobRecord, LAYOUT, LastHolder, Layout, MachineRecord, Slots, TERM, TermRecord, job_key,
+    Holder, JobRecord, LAYOUT, LastHolder, Layout, MachineRecord, TERM, TermRecord, job_key,
     last_key, part_key, rack_key,
 };
 use pulleywood_wire::state::Item;
 use pulleywood_wire::worker::{Cause, Report, TaskReport, TaskState};
-use pulleywood_wire::{
-    Attempt, JobId, JobSpec, MachineId, Moment, PartId, Rank, Shape, Stamp, TaskId, Term,
-};
-use std::collections::BTreeMap;
-use std::time::Duration;
+use pulleywood_wire::{Attempt, JobId, JobSpec, MachineId, Moment, PartId, Stamp, TaskId, Term};
 
 /// The term counter, and the term of each shard's holder.
 pub const TERM_NOW: Term = Term(9);
@@ -24,48 +19,7 @@
 pub const CHUNK: u32 = 1024;
 
 pub fn config() -> Config {
-    let flavor = Flavor {
-        label: "g4".into(),
-        cpus: Amount(16.0),
-        gpus: Amount(4.0),
-        memory_gb: Amount(64.0),
-        cache_gb: Amount(20.0),
-        fetch_gb_per_s: Amount(1.0),
-        price: Amount(4.0),
-        spot_price: Amount(1.0),
-        boot_s: Amount(30.0),
-        zones: vec!["a".into(), "b".into()],
-    };
-    let team = Team {
-        guarantee: Slots::default(),
-        limit: Slots::default(),
-        weight: 1.0,
-    };
-    Config {
-        report: Duration::from_secs(1),
-        lease: Duration::from_secs(10),
-        cancel: Duration::from_secs(40),
-        batch_ops: 12,
-        parts: SHARDS,
-        value_bytes: 8192,
-        homes: vec![],
-        chunk: CHUNK,
-        zones: vec!["a".into(), "b".into()],
-        teams: BTreeMap::from([("red".to_owned(), team)]),
-        objectives: vec![],
-        flavors: BTreeMap::from([("g4".to_owned(), flavor)]),
-        policy: Policy {
-            weights: BTreeMap::new(),
-            part_lease_s: 5.0,
-            cushion: 0.1,
-            reserve_jobs: 0.5,
-            overflow: 0.75,
-            idle_s: 45.0,
-            spot_bias_s: 30.0,
-            patience_s: 60.0,
-            sick_jobs: 2,
-        },
-    }
+    samples::config(SHARDS)
 }
 
 pub fn job_id(n: u64) -> JobId {
@@ -77,28 +31,7 @@
 }
 
 pub fn spec(n: u64, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: job_id(n),
-        class: "c".into(),
-        team: "red".into(),
-        shape: Shape::Array,
-        rank: Rank::Standard,
-        tasks,
-        cpus: Amount(4.0),
-        gpus: Amount(1.0),
-        memory_gb: Amount(8.0),
-        image: "img".into(),
-        image_gb: Amount(5.0),
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: Amount(60.0),
-        checkpoint_s: Amount(10.0),
-        save_s: Amount(2.0),
-        deadline_s: None,
-    }
+    samples::spec(job_id(n), tasks)
 }
 
 pub fn job(spec: JobSpec) -> JobRecord {
--- a/crates/pulleywood-standins/src/lib.rs
+++ b/crates/pulleywood-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cloud;
 pub mod history;
 pub mod relay;
+pub mod samples;
 pub mod state;
 pub mod virtual_cluster;
 pub mod worker;
--- /dev/null
+++ b/crates/pulleywood-standins/src/samples.rs
@@ -0,0 +1,83 @@
+//! Settings and a job to try decisions on, to be changed by whoever needs others.
+
+use pulleywood_core::Config;
+use pulleywood_core::config::{Policy, Team};
+use pulleywood_wire::cbor::Amount;
+use pulleywood_wire::cloud::Flavor;
+use pulleywood_wire::record::Slots;
+use pulleywood_wire::{JobId, JobSpec, Rank, Shape};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One machine type of 16 processors and four GPUs in two zones, one team without
+/// bounds, reports every second.
+pub fn config(shards: u32) -> Config {
+    let flavor = Flavor {
+        label: "g4".into(),
+        cpus: Amount(16.0),
+        gpus: Amount(4.0),
+        memory_gb: Amount(64.0),
+        cache_gb: Amount(20.0),
+        fetch_gb_per_s: Amount(1.0),
+        price: Amount(4.0),
+        spot_price: Amount(1.0),
+        boot_s: Amount(30.0),
+        zones: vec!["a".into(), "b".into()],
+    };
+    let team = Team {
+        guarantee: Slots::default(),
+        limit: Slots::default(),
+        weight: 1.0,
+    };
+    Config {
+        report: Duration::from_secs(1),
+        lease: Duration::from_secs(10),
+        cancel: Duration::from_secs(40),
+        batch_ops: 12,
+        parts: shards,
+        value_bytes: 8192,
+        homes: vec![],
+        chunk: 1024,
+        zones: vec!["a".into(), "b".into()],
+        teams: BTreeMap::from([("red".to_owned(), team)]),
+        objectives: vec![],
+        flavors: BTreeMap::from([("g4".to_owned(), flavor)]),
+        policy: Policy {
+            weights: BTreeMap::new(),
+            part_lease_s: 5.0,
+            cushion: 0.1,
+            reserve_jobs: 0.5,
+            overflow: 0.75,
+            idle_s: 45.0,
+            spot_bias_s: 30.0,
+            patience_s: 60.0,
+            sick_jobs: 2,
+        },
+    }
+}
+
+/// An array whose tasks take a quarter of such a machine.
+pub fn spec(id: JobId, tasks: u32) -> JobSpec {
+    JobSpec {
+        id,
+        class: "c".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        rank: Rank::Standard,
+        tasks,
+        cpus: Amount(4.0),
+        gpus: Amount(1.0),
+        memory_gb: Amount(8.0),
+        image: "img".into(),
+        image_gb: Amount(5.0),
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: Amount(60.0),
+        checkpoint_s: Amount(10.0),
+        save_s: Amount(2.0),
+        deadline_s: None,
+    }
+}
--- a/crates/pulleywood-standins/src/virtual_cluster/mod.rs
+++ b/crates/pulleywood-standins/src/virtual_cluster/mod.rs
@@ -7,14 +7,12 @@
 mod worker;
 
 use crate::history::{self, Event, Expected, Violation};
+use crate::samples;
 use controller::Controller;
 use fastrand::Rng;
 use pulleywood_core::Config;
-use pulleywood_core::config::{Policy, Team};
 use pulleywood_recovery::RecoveryPolicy;
 use pulleywood_wire::cbor::Amount;
-use pulleywood_wire::cloud::Flavor;
-use pulleywood_wire::record::Slots;
 use pulleywood_wire::{JobId, JobSpec, Moment, PartId, Rank, Shape, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -86,48 +84,13 @@
 }
 
 fn config(controllers: usize) -> Config {
-    let flavor = Flavor {
-        label: "g4".into(),
-        cpus: Amount(16.0),
-        gpus: Amount(4.0),
-        memory_gb: Amount(64.0),
-        cache_gb: Amount(20.0),
-        fetch_gb_per_s: Amount(1.0),
-        price: Amount(4.0),
-        spot_price: Amount(1.0),
-        boot_s: Amount(30.0),
-        zones: vec!["a".into(), "b".into()],
-    };
-    let team = Team {
-        guarantee: Slots::default(),
-        limit: Slots::default(),
-        weight: 1.0,
-    };
-    Config {
-        report: Duration::from_secs(2),
-        lease: Duration::from_secs(12),
-        cancel: Duration::from_secs(30),
-        batch_ops: 12,
-        parts: controllers as u32,
-        value_bytes: 8192,
-        homes: vec![],
-        chunk: 1024,
-        zones: vec!["a".into(), "b".into()],
-        teams: BTreeMap::from([("red".to_owned(), team)]),
-        objectives: vec![],
-        flavors: BTreeMap::from([("g4".to_owned(), flavor)]),
-        policy: Policy {
-            weights: BTreeMap::new(),
-            part_lease_s: 6.0,
-            cushion: 0.1,
-            reserve_jobs: 0.0,
-            overflow: 0.75,
-            idle_s: 45.0,
-            spot_bias_s: 30.0,
-            patience_s: 60.0,
-            sick_jobs: 2,
-        },
-    }
+    let mut config = samples::config(controllers as u32);
+    config.report = Duration::from_secs(2);
+    config.lease = Duration::from_secs(12);
+    config.cancel = Duration::from_secs(30);
+    config.policy.part_lease_s = 6.0;
+    config.policy.reserve_jobs = 0.0;
+    config
 }
 
 impl VirtualCluster {
@@ -199,37 +162,18 @@
 
     fn spec(&mut self, n: u64, tasks: u32, service: bool) -> JobSpec {
         let ranks = [Rank::Standard, Rank::Idle];
-        JobSpec {
-            id: JobId::parse(&format!("j-{n:06}")).expect("a job id"),
-            class: "c".into(),
-            team: "red".into(),
-            shape: if service {
-                Shape::Service
-            } else {
-                Shape::Array
-            },
-            // Work of one rank stops none of the same: nothing is to be stopped.
-            rank: if service {
-                Rank::Production
-            } else {
-                ranks[self.rng.usize(0..ranks.len())]
-            },
-            tasks,
-            cpus: Amount(4.0),
-            gpus: Amount(1.0),
-            memory_gb: Amount(8.0),
-            image: format!("img-{:02}", self.rng.u32(0..8)),
-            image_gb: Amount(4.0),
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            estimate_s: Amount(60.0),
-            checkpoint_s: Amount(0.0),
-            save_s: Amount(0.0),
-            deadline_s: None,
+        let id = JobId::parse(&format!("j-{n:06}")).expect("a job id");
+        let mut spec = samples::spec(id, tasks);
+        if service {
+            (spec.shape, spec.rank) = (Shape::Service, Rank::Production);
+        } else {
+            // Work of one rank stops none of the same.
+            spec.rank = ranks[self.rng.usize(0..ranks.len())];
         }
+        spec.image = format!("img-{:02}", self.rng.u32(0..8));
+        spec.image_gb = Amount(4.0);
+        (spec.checkpoint_s, spec.save_s) = (Amount(0.0), Amount(0.0));
+        spec
     }
 
     /// Plays a cold start to its end.
