--- a/crates/pulleywood-core/tests/work.rs
+++ b/crates/pulleywood-core/tests/work.rs
@@ -38,25 +38,32 @@
 #[test]
 fn a_digest_of_hundreds_of_machines_stays_small() {
     // Machines, and bytes that each may take: about a tenth of a second's worth
-    // of a slow controller's network and processor for all of them.
-    let machines = 300;
-    let mut b = Bench::new(&vec!["a"; machines]);
-    for n in 1..=60 {
-        b.submit(spec(n, 100), false);
-    }
-    for m in 0..machines {
-        let report = b.report(m, 1, vec![]);
-        b.turn(&report, 1.0);
+    // of a slow controller's network and processor for hundreds of them. With
+    // thousands, all still fit into a message between controllers many times.
+    const MESSAGE: usize = 16 << 20;
+    for machines in [300, 6000] {
+        let mut b = Bench::new(&vec!["a"; machines]);
+        for n in 1..=60 {
+            b.submit(spec(n, 100), false);
+        }
+        for m in 0..machines {
+            let report = b.report(m, 1, vec![]);
+            b.ledger.report(&report, false, at(1.0), &b.config);
+        }
+        for m in 0..300 {
+            b.ledger.answer(&machine(m), true, at(1.0), &b.config);
+        }
+        let digest = b.ledger.digest(at(1.5), &b.config);
+        assert_eq!(digest.machines.len(), machines);
+        assert_eq!(
+            digest.demand.len(),
+            1,
+            "demand is told by shape, not by job"
+        );
+        let bytes = cbor::encode(&digest).len();
+        assert!(bytes < machines * 220, "{bytes}");
+        assert!(bytes < MESSAGE / 8, "{bytes}");
     }
-    let digest = b.ledger.digest(at(1.5), &b.config);
-    assert_eq!(digest.machines.len(), machines);
-    assert_eq!(
-        digest.demand.len(),
-        1,
-        "demand is told by shape, not by job"
-    );
-    let bytes = cbor::encode(&digest).len();
-    assert!(bytes < machines * 220, "{bytes}");
 }
 
 #[test]
@@ -115,11 +122,12 @@
     // Each full machine was looked at for each waiting task of each job: a
     // plan for 350 of them took a third of a controller's processor.
     // (machines, of which full, jobs that wait, tasks of each, most looks)
-    let cases: [(usize, usize, u64, u32, u64); 4] = [
+    let cases: [(usize, usize, u64, u32, u64); 5] = [
         (50, 50, 40, 100, 0),
         (400, 400, 40, 100, 0),
         (400, 390, 40, 100, 40 * 10),
         (400, 0, 1, 100, 800),
+        (1500, 1490, 40, 100, 40 * 10),
     ];
     for (machines, full, jobs, tasks, most) in cases {
         let mut b = Bench::new(&vec!["a"; machines]);
