--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,10 +1,12 @@
 //! The cases.
 
 use crate::Verdict;
-use crate::cluster::{CONTROLLERS, Cluster, Options, array, member, polder12};
+use crate::cluster::{Cluster, Options, array, member, polder12};
 use crate::record::Record;
 use pulleywood_protocol::cbor::Amount;
 use pulleywood_protocol::job::JobStatus;
+use pulleywood_protocol::record::{JobRecord, job_key};
+use pulleywood_protocol::{JobSpec, Rank};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -25,6 +27,8 @@
         "cancelled" => cancelled(root, folder, trouble, record),
         "limits" => limits(root, folder, trouble, record),
         "quota" => quota(root, folder, trouble, record),
+        "array" => long_array(root, folder, trouble, record),
+        "grow" => grow(root, folder, record),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -53,7 +57,8 @@
         root,
         folder,
         cluster,
-        domains: [ZONES[0], ZONES[1], ZONES[0]],
+        domains: vec![ZONES[0], ZONES[1], ZONES[0]],
+        jobs: Vec::new(),
         flavor: polder12(&ZONES),
         capacity: kinds.map(|(zone, spot)| ((zone.to_owned(), spot), 7)).collect(),
     }
@@ -70,7 +75,11 @@
     let teams = json!([{ "name": "reeksenbeheer", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0 }]);
     let options = options(root, folder, delta(teams));
     let cluster = Cluster::start(options, Arc::clone(record), Duration::from_secs(110))?;
-    let job = array(412, "reeksenbeheer", 300, 5.0, 1.0, 18.0);
+    // All tasks run in one zone, and so in one shard.
+    let job = JobSpec {
+        one_zone: true,
+        ..array(412, "reeksenbeheer", 600, 5.0, 1.0, 18.0)
+    };
     let id = job.id.clone();
     cluster.submit(&job, Duration::from_millis(1500))?;
     cluster.wait("12 tasks of the job have started", Duration::from_secs(40), || {
@@ -90,7 +99,7 @@
         cluster.cut(busiest, true);
         std::thread::sleep(Duration::from_millis(500));
     }
-    let other = (busiest + 1) % CONTROLLERS;
+    let other = (busiest + 1) % cluster.count();
     let (heard, status) = cluster.cancel(other, &id, Duration::from_secs(20))?;
     if status != JobStatus::Cancelled {
         return Err(format!("the cancellation was answered with {status:?}"));
@@ -150,24 +159,13 @@
     cluster.wait("all tasks have completed", Duration::from_secs(30), || {
         jobs.iter().all(|j| cluster.jobs.done_tasks(&j.id) == 1)
     })?;
-    let completed = Instant::now();
-    let mut open: Vec<_> = jobs.iter().map(|j| j.id.clone()).collect();
-    while !open.is_empty() && completed.elapsed() < Duration::from_secs(45) {
-        std::thread::sleep(Duration::from_millis(2500));
-        open.retain(|id| {
-            let controller = fastrand::usize(..CONTROLLERS);
-            let (status, answer) = cluster.poll(controller, id);
-            let answer = answer.map(|a| (a.status, a.done, a.running));
-            record.line(&format!("user asked {} for {id}: {status} {answer:?}", member(controller)));
-            answer.is_none_or(|(status, ..)| status != JobStatus::Done)
-        });
-    }
-    Ok(match open.len() {
+    let (open, seconds) = await_done(&cluster, &jobs, Duration::from_secs(45));
+    Ok(match open {
         0 => Verdict::Held("all jobs were reported as done".into()),
-        count => Verdict::Broken(format!(
-            "{count} of {} jobs were not reported as done {} s after their only task completed",
-            jobs.len(),
-            completed.elapsed().as_secs()
+        open => Verdict::Broken(format!(
+            "{open} of {} jobs were not reported as done {seconds} s after their only task \
+             completed",
+            jobs.len()
         )),
     })
 }
@@ -194,7 +192,7 @@
     cluster.wait("the team uses its limit", Duration::from_secs(40), || {
         cluster.jobs.gpus_in_use("reeksenbeheer") >= before
     })?;
-    for controller in 0..CONTROLLERS {
+    for controller in 0..cluster.count() {
         cluster.kill(controller);
         cluster.set_teams(controller, &teams(after));
         std::thread::sleep(Duration::from_secs(3));
@@ -225,3 +223,108 @@
         Verdict::Held(text)
     })
 }
+
+/// An array of 100,000 tasks has run for minutes. Short jobs run beside it.
+fn long_array(
+    root: PathBuf,
+    folder: PathBuf,
+    trouble: bool,
+    record: &Arc<Record>,
+) -> Result<Verdict, String> {
+    let minutes = if trouble { "minute-7.json" } else { "minute-1.json" };
+    let file = root.join("review/1").join(minutes);
+    let text = std::fs::read_to_string(&file).map_err(|e| format!("{minutes}: {e}"))?;
+    let array_record: JobRecord = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+    let teams = json!([{ "name": "reeksenbeheer", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0 }]);
+    let mut options = options(root, folder, delta(teams));
+    let id = array_record.spec.id.clone();
+    let key = job_key(id.shard(3), &id);
+    record.line(&format!("the state service holds {key}, {} bytes, as in {minutes}", text.len()));
+    options.jobs = vec![array_record];
+    let cluster = Cluster::start(options, Arc::clone(record), Duration::from_secs(117))?;
+    cluster.wait("40 tasks of the array have started", Duration::from_secs(30), || {
+        cluster.jobs.starts_of(&id).len() >= 40
+    })?;
+    std::thread::sleep(Duration::from_secs(30));
+    let jobs: Vec<_> = (0..6)
+        .map(|i| JobSpec {
+            rank: Rank::Urgent,
+            ..array(800 + i, "reeksenbeheer", 1, 5.0, 1.0, 18.0)
+        })
+        .collect();
+    for job in &jobs {
+        cluster.submit(job, Duration::from_secs(2))?;
+    }
+    cluster.wait("all short jobs have completed", Duration::from_secs(25), || {
+        jobs.iter().all(|j| cluster.jobs.done_tasks(&j.id) == 1)
+    })?;
+    let (open, seconds) = await_done(&cluster, &jobs, Duration::from_secs(40));
+    Ok(match open {
+        0 => Verdict::Held("all short jobs were reported as done".into()),
+        open => Verdict::Broken(format!(
+            "{open} of {} short jobs were not reported as done {seconds} s after their only task \
+             completed",
+            jobs.len()
+        )),
+    })
+}
+
+/// Asks for the jobs every 2.5 s until all are reported as done, for `limit` at most. Returns
+/// how many are not, and how many seconds it asked.
+fn await_done(cluster: &Cluster, jobs: &[JobSpec], limit: Duration) -> (usize, u64) {
+    let completed = Instant::now();
+    let mut open: Vec<_> = jobs.iter().map(|j| j.id.clone()).collect();
+    while !open.is_empty() && completed.elapsed() < limit {
+        std::thread::sleep(Duration::from_millis(2500));
+        open.retain(|id| {
+            let controller = fastrand::usize(..cluster.count());
+            let (status, answer) = cluster.poll(controller, id);
+            let answer = answer.map(|a| (a.status, a.done, a.running));
+            cluster.record.line(&format!(
+                "user asked {} for {id}: {status} {answer:?}",
+                member(controller)
+            ));
+            answer.is_none_or(|(status, ..)| status != JobStatus::Done)
+        });
+    }
+    (open.len(), completed.elapsed().as_secs())
+}
+
+/// No case: runs an array of 100,000 tasks beside short jobs for eight minutes, and writes the
+/// array's stored record to `FOLDER/SECONDS-BYTES.json` every ten seconds. Case 1 starts from two of
+/// these files.
+fn grow(root: PathBuf, folder: PathBuf, record: &Arc<Record>) -> Result<Verdict, String> {
+    let teams = json!([{ "name": "reeksenbeheer", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0 }]);
+    let options = options(root, folder.clone(), delta(teams));
+    let cluster = Cluster::start(options, Arc::clone(record), Duration::from_secs(540))?;
+    let mut array_job = array(700, "reeksenbeheer", 100_000, 5.0, 1.0, 18.0);
+    array_job.estimate_s = Amount(60.0);
+    cluster.submit(&array_job, Duration::from_millis(1500))?;
+    let began = Instant::now();
+    let mut jobs: Vec<JobSpec> = Vec::new();
+    let mut longest = Duration::ZERO;
+    while began.elapsed() < Duration::from_secs(480) {
+        let short = JobSpec {
+            rank: Rank::Urgent,
+            ..array(800 + jobs.len() as u64, "reeksenbeheer", 1, 5.0, 1.0, 18.0)
+        };
+        cluster.submit(&short, Duration::from_secs(2))?;
+        jobs.push(short);
+        std::thread::sleep(Duration::from_secs(10));
+        for value in cluster.store.values(&job_key(array_job.id.shard(3), &array_job.id)) {
+            let text = serde_json::to_string(&value).map_err(|e| e.to_string())?;
+            let name = format!("{:04}-{}.json", began.elapsed().as_secs(), text.len());
+            std::fs::write(folder.join(name), &text).map_err(|e| e.to_string())?;
+            record.line(&format!("the array's record takes {} bytes", text.len()));
+        }
+        // How long the oldest completed short job has waited to be told as done.
+        jobs.retain(|j| cluster.poll(0, &j.id).1.is_none_or(|a| a.status != JobStatus::Done));
+        let waits = jobs.iter().filter_map(|j| cluster.jobs.done_since(&j.id));
+        longest = longest.max(waits.max().unwrap_or_default());
+    }
+    Ok(Verdict::Held(format!(
+        "a short job waited up to {} s to be told as done; {} wait",
+        longest.as_secs(),
+        jobs.len()
+    )))
+}
--- a/review/harness/src/cluster.rs
+++ b/review/harness/src/cluster.rs
@@ -8,19 +8,19 @@
 use pulleywood_protocol::cbor::{self, Amount};
 use pulleywood_protocol::cloud::Flavor;
 use pulleywood_protocol::job::{JobAnswer, JobStatus};
+use pulleywood_protocol::record::{JobRecord, job_key};
 use pulleywood_protocol::{JobId, JobSpec, Rank, Shape};
 use pulleywood_testkit::{CuttableProxy, FakeStore, Fault, StoreEndpoint};
 use pulleywood_transport::Client;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-pub const CONTROLLERS: usize = 3;
-
 /// What a case chooses.
 pub struct Options {
     /// Repository root, where the run command of the deploy file is started.
@@ -30,9 +30,11 @@
     /// `teams`, `workers`, `state`, `cloud`, `resources` and `zones` of the settings.
     pub cluster: Value,
     /// Zone of each controller.
-    pub domains: [&'static str; CONTROLLERS],
+    pub domains: Vec<&'static str>,
     pub flavor: Flavor,
     pub capacity: BTreeMap<(String, bool), usize>,
+    /// Records of jobs that the state service holds at the start, with tasks that run for 1.5 s.
+    pub jobs: Vec<JobRecord>,
 }
 
 pub struct Cluster {
@@ -87,9 +89,10 @@
     /// Starts the stand-ins and the controllers, and waits until all controllers are ready.
     pub fn start(options: Options, record: Arc<Record>, limit: Duration) -> Result<Cluster, String> {
         let text = |e: std::io::Error| e.to_string();
-        let ports = free_ports(2 * CONTROLLERS)?;
-        let serve_on = ports[..CONTROLLERS].to_vec();
-        let listen = ports[CONTROLLERS..].to_vec();
+        let count = options.domains.len();
+        let ports = free_ports(2 * count)?;
+        let serve_on = ports[..count].to_vec();
+        let listen = ports[count..].to_vec();
         let jobs = Arc::new(Jobs::default());
         let workers = &options.cluster["workers"];
         let seconds = |name: &str| Duration::from_secs_f64(workers[name].as_f64().unwrap_or(1.0));
@@ -116,6 +119,11 @@
             value_kb: state["value_kb"].as_f64().unwrap_or(8.0),
         }));
         let store = FakeStore::default();
+        for job in &options.jobs {
+            let id = &job.spec.id;
+            store.put_without_event(&job_key(id.shard(count as u32), id), job);
+            jobs.add(job.spec.clone(), Duration::from_millis(1500));
+        }
         let mut cluster = Cluster {
             jobs,
             record,
@@ -125,11 +133,11 @@
             peers: Vec::new(),
             serve_on,
             settings: Vec::new(),
-            processes: Arc::new(Mutex::new((0..CONTROLLERS).map(|_| None).collect())),
+            processes: Arc::new(Mutex::new((0..count).map(|_| None).collect())),
             options,
         };
         cluster.watch_time(limit);
-        for controller in 0..CONTROLLERS {
+        for controller in 0..count {
             let endpoint = cluster.store.endpoint().map_err(text)?;
             let front = state::start(
                 member(controller),
@@ -140,7 +148,7 @@
             .map_err(text)?;
             cluster.endpoints.push(endpoint);
             let mut seeds = Vec::new();
-            for peer in (0..CONTROLLERS).filter(|peer| *peer != controller) {
+            for peer in (0..count).filter(|peer| *peer != controller) {
                 let proxy = CuttableProxy::start(listen[peer]).map_err(text)?;
                 seeds.push(json!({
                     "member": member(peer),
@@ -159,20 +167,25 @@
                 "cluster": cluster.options.cluster.clone(),
             }));
         }
-        for controller in 0..CONTROLLERS {
+        for controller in 0..count {
             cluster.run(controller)?;
         }
-        for controller in 0..CONTROLLERS {
+        for controller in 0..count {
             cluster.wait("all controllers are ready", Duration::from_secs(20), || {
                 cluster.call(controller, "GET", "/ready", None).0 == 200
             })?;
         }
         cluster.wait("every shard has a leader", Duration::from_secs(20), || {
-            cluster.store.keys("c/part/").len() == CONTROLLERS
+            cluster.store.keys("c/part/").len() == count
         })?;
         Ok(cluster)
     }
 
+    /// Number of controllers.
+    pub fn count(&self) -> usize {
+        self.serve_on.len()
+    }
+
     /// Ends the case with status 2 if it takes longer than `limit`.
     fn watch_time(&self, limit: Duration) {
         let (processes, record) = (Arc::clone(&self.processes), Arc::clone(&self.record));
@@ -207,6 +220,13 @@
             .stderr(log)
             .spawn()
             .map_err(text)?;
+        let pids = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.options.folder.join("pids"));
+        if let Ok(mut pids) = pids {
+            let _ = writeln!(pids, "{}", child.id());
+        }
         self.record.line(&format!("started {} as process {}", member(controller), child.id()));
         self.processes.lock()[controller] = Some(child);
         Ok(())
@@ -274,7 +294,7 @@
         self.jobs.add(spec.clone(), run_time);
         let body = cbor::encode(spec);
         let deadline = Instant::now() + Duration::from_secs(60);
-        let mut controller = fastrand::usize(..CONTROLLERS);
+        let mut controller = fastrand::usize(..self.count());
         while Instant::now() < deadline {
             let (status, _) = self.call(controller, "POST", "/v2/runs", Some(&body));
             self.record.line(&format!(
@@ -288,7 +308,7 @@
                 400 | 422 => return Err(format!("{} was refused with {status}", spec.id)),
                 _ => std::thread::sleep(Duration::from_secs(1)),
             }
-            controller = (controller + 1) % CONTROLLERS;
+            controller = (controller + 1) % self.count();
         }
         Err(format!("{} was not accepted", spec.id))
     }
--- a/review/harness/src/jobs.rs
+++ b/review/harness/src/jobs.rs
@@ -48,7 +48,9 @@
             if self.was_done(task) {
                 Duration::ZERO
             } else {
-                job.run_time
+                // Tasks of a job take from a half to one and a half of its run time.
+                let spread = u64::from(task.index).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54;
+                job.run_time.mul_f64(0.5 + spread as f64 / 1024.0)
             }
         })
     }
@@ -95,6 +97,13 @@
         done.len()
     }
 
+    /// How long ago the first task of a job completed; `None` if none has.
+    pub fn done_since(&self, id: &JobId) -> Option<Duration> {
+        let starts = self.starts_of(id);
+        let done = starts.iter().find(|s| s.done)?;
+        Some(done.ended?.elapsed())
+    }
+
     /// GPUs that the running tasks of a team use now.
     pub fn gpus_in_use(&self, team: &str) -> f64 {
         let submitted = self.submitted.lock();
