--- a/review/harness/src/jobs.rs
+++ b/review/harness/src/jobs.rs
@@ -86,14 +86,21 @@
     /// The starts of a job's tasks.
     pub fn starts_of(&self, id: &JobId) -> Vec<Start> {
         let starts = self.starts.lock();
-        starts.iter().filter(|s| s.task.job == *id).cloned().collect()
+        starts
+            .iter()
+            .filter(|s| s.task.job == *id)
+            .cloned()
+            .collect()
     }
 
     /// Number of different tasks of a job that have completed.
     pub fn done_tasks(&self, id: &JobId) -> usize {
         let starts = self.starts_of(id);
-        let done: std::collections::BTreeSet<u32> =
-            starts.iter().filter(|s| s.done).map(|s| s.task.index).collect();
+        let done: std::collections::BTreeSet<u32> = starts
+            .iter()
+            .filter(|s| s.done)
+            .map(|s| s.task.index)
+            .collect();
         done.len()
     }
 
