--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -328,11 +328,13 @@
     cluster.submit(&array_job, Duration::from_millis(1500))?;
     let began = Instant::now();
     let mut jobs: Vec<JobSpec> = Vec::new();
+    let mut number = 800;
     let mut longest = Duration::ZERO;
     while began.elapsed() < Duration::from_secs(480) {
+        number += 1;
         let short = JobSpec {
             rank: Rank::Urgent,
-            ..array(800 + jobs.len() as u64, "reeksenbeheer", 1, 5.0, 1.0, 18.0)
+            ..array(number, "reeksenbeheer", 1, 5.0, 1.0, 18.0)
         };
         cluster.submit(&short, Duration::from_secs(2))?;
         jobs.push(short);
