Log on which revision and age of the cached state launches were decided

A cancellation that is confirmed while a leader is cut off could be followed by launches for three reasons that the log could not tell apart: the leader had read the cancellation and launched all the same, it had not read it and its cached state was still young enough, or its suspension of the job had ended. The line of the commands that are sent now has the revision of the cached state and its age, and the line of a cancellation its revision.

--- a/crates/pulleywood-controller/src/api/cancellations.rs
+++ b/crates/pulleywood-controller/src/api/cancellations.rs
@@ -14,8 +14,8 @@
 
 /// Result of an attempt to cancel a job.
 pub enum CancelOutcome {
-    /// The job is cancelled and has this final state.
-    Cancelled(FinalRecord),
+    /// The job is cancelled and has this final state, written at this revision.
+    Cancelled(FinalRecord, Revision),
     /// The stored job changed concurrently, or its record cannot be read: the caller looks
     /// the job up again.
     Conflict,
@@ -153,6 +153,6 @@
         let mut controller = context.controller.lock();
         controller.remove_ended_job(id, revision);
         controller.put_job_batches(self.job_batches, revision, now);
-        CancelOutcome::Cancelled(self.final_state)
+        CancelOutcome::Cancelled(self.final_state, revision)
     }
 }
--- a/crates/pulleywood-controller/src/api/users.rs
+++ b/crates/pulleywood-controller/src/api/users.rs
@@ -83,8 +83,8 @@
         context.suspend_launches(std::slice::from_ref(&id));
         context.cancellation_notices.post(id.clone());
         match commit_cancellation(context, id.shard(shard_count), &id) {
-            Ok(CancelOutcome::Cancelled(final_state)) => {
-                log::debug!("cancelled job {id}");
+            Ok(CancelOutcome::Cancelled(final_state, revision)) => {
+                log::debug!("cancelled job {id} at revision {}", revision.0);
                 context.final_states.lock().insert(&id, final_state.clone());
                 return job_response(context, &id, &StoredJob::Final(final_state));
             }
--- a/crates/pulleywood-controller/src/api/workers.rs
+++ b/crates/pulleywood-controller/src/api/workers.rs
@@ -169,6 +169,8 @@
     let mut controller = context.controller.lock();
     let config = Arc::clone(&controller.config);
     let may_launch = controller.may_launch(now);
+    let store_revision = controller.cached.store_revision;
+    let cache_age = now.since(controller.cache_current_as_of);
     let Some(led) = controller.led_shards.get_mut(&shard) else {
         return Response::retry_later(503, 1);
     };
@@ -200,8 +202,10 @@
     drop(controller);
     if !commands.is_empty() {
         log::debug!(
-            "sending commands to machine {}: {commands:?}",
-            heartbeat.machine
+            "sending commands to machine {}, decided on the state of revision {store_revision}, \
+             current {} ms ago: {commands:?}",
+            heartbeat.machine,
+            cache_age.as_millis()
         );
     }
     let response = HeartbeatResponse {
