Audit: suspend a job that it brings back for longer than its record is read again

The audit loads a job that is missing from a leader's state, and reads its record once more, as it may have been cancelled since. Launches were suspended for 3 s meanwhile; the wait for a token (3 s) and the response (1.5 s) may take 4.5 s. A cancelled job could then be launched, on a state that is fresh but no longer hears of the cancellation.

The suspension is now the one of cancellations, 6 s. a_job_that_the_audit_loaded_is_not_launched_before_its_record_was_read_again failed before (3s, 4.5s).

--- a/crates/pulleywood-controller/src/recovery/audit.rs
+++ b/crates/pulleywood-controller/src/recovery/audit.rs
@@ -10,6 +10,7 @@
 use pulleywood_protocol::store::Item;
 use pulleywood_protocol::{JobId, MachineId, MonotonicTime, Revision, ShardId};
 use pulleywood_recovery::audit::{AuditedState, Discrepancy, Finding};
+use pulleywood_scheduler::launch_validity::LAUNCH_SUSPENSION;
 use pulleywood_transport::{RequestPriority, StoreError};
 use std::sync::Arc;
 use std::time::Duration;
@@ -105,10 +106,6 @@
     }
 }
 
-/// Launches of a job that the audit loaded are suspended for this long, within which its record
-/// is read once more.
-const LAUNCH_SUSPENSION: Duration = Duration::from_secs(3);
-
 /// Loads a record that the audit found missing, in the same way as the watch would.
 fn load_missing(context: &ControllerContext, finding: &Finding) {
     let (discrepancy, key) = (&finding.discrepancy, &finding.item.path);
@@ -126,6 +123,8 @@
     match discrepancy {
         Discrepancy::JobNotCached(id) | Discrepancy::JobNotInShard(_, id) => {
             let mut controller = context.controller.lock();
+            // The job may have been cancelled since its record was read. The suspension lasts for
+            // longer than reading the record once more.
             controller.load_missing_job(id, &finding.item, now);
             controller.suspend_launches(std::slice::from_ref(id), now + LAUNCH_SUSPENSION, now);
             drop(controller);
@@ -200,3 +199,6 @@
         self.cached.machines.insert(id.clone(), known);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/pulleywood-transport/src/store.rs
+++ b/crates/pulleywood-transport/src/store.rs
@@ -290,6 +290,12 @@
         }
     }
 
+    /// Longest time that [`StoreClient::get`] takes at a priority: the wait for a token and for
+    /// the response.
+    pub fn max_get_duration(priority: RequestPriority) -> Duration {
+        priority.max_wait() + REQUEST_TIMEOUT
+    }
+
     /// Creates a lease that expires `ttl` after its last renewal.
     ///
     /// # Errors
