Answer no heartbeat of a shard whose hand-over has begun since it was routed

A heartbeat was routed to a led shard under the lock, and applied under the next one. A hand-over that began in between stops launches and gives the shard's key away, but the heartbeat could still be answered with launches. That a former leader launches nothing is what confirms cancellations. Found by reading; no run showed it, and the window between two locks has no test.

The shard is looked at once more when the heartbeat is applied, by LedShard::is_active, which replaces six copies of the same condition.

--- a/crates/pulleywood-controller/src/api/workers.rs
+++ b/crates/pulleywood-controller/src/api/workers.rs
@@ -143,7 +143,7 @@
 
     fn led(&self, shard: ShardId) -> Option<&'a LedShard> {
         let led = self.controller.led_shards.get(&shard);
-        led.filter(|led| led.loaded && !led.handing_over)
+        led.filter(|led| led.is_active())
     }
 
     /// Redirects to a controller if it is known to be alive. A controller that is cut off from
@@ -171,7 +171,9 @@
     let may_launch = controller.may_launch(now);
     let store_revision = controller.cached.store_revision;
     let cache_age = now.since(controller.cache_current_as_of);
-    let Some(led) = controller.led_shards.get_mut(&shard) else {
+    // A hand-over may have begun since the heartbeat was routed.
+    let led = controller.led_shards.get_mut(&shard);
+    let Some(led) = led.filter(|led| led.is_active()) else {
         return Response::retry_later(503, 1);
     };
     match led.state.handle_heartbeat(heartbeat, false, now, &config) {
--- a/crates/pulleywood-controller/src/shard/done_batches.rs
+++ b/crates/pulleywood-controller/src/shard/done_batches.rs
@@ -143,7 +143,7 @@
 fn prepare_images(context: &ControllerContext) -> Vec<PreparedImages> {
     let controller = context.controller.lock();
     let led = controller.led_shards.iter();
-    led.filter(|(_, led)| led.loaded && !led.handing_over)
+    led.filter(|(_, led)| led.is_active())
         .filter_map(|(shard, led)| prepare_shard_images(&controller, *shard, led))
         .collect()
 }
--- a/crates/pulleywood-controller/src/shard/leadership.rs
+++ b/crates/pulleywood-controller/src/shard/leadership.rs
@@ -161,7 +161,7 @@
 fn led_shard_status(shard: ShardId, led: &LedShard) -> LedShardStatus {
     LedShardStatus {
         shard,
-        is_stable: led.loaded && !led.handing_over,
+        is_stable: led.is_active(),
         reconciliation_unrecorded: led.loaded
             && led.reconciled_revision.is_none()
             && !led.state.is_rebuilding(),
--- a/crates/pulleywood-controller/src/shard/registration.rs
+++ b/crates/pulleywood-controller/src/shard/registration.rs
@@ -317,7 +317,7 @@
     now: MonotonicTime,
 ) -> Option<Versioned<MachineRecord>> {
     let led = controller.led_shards.get(&machine.shard)?;
-    if !led.loaded || led.handing_over || !controller.may_act(now) {
+    if !led.is_active() || !controller.may_act(now) {
         return None;
     }
     let fencing_token = if machine.highest_seen_token < led.state.fencing_token {
--- a/crates/pulleywood-controller/src/shard/release_machines.rs
+++ b/crates/pulleywood-controller/src/shard/release_machines.rs
@@ -169,7 +169,7 @@
 }
 
 fn may_leave(led: &LedShard, id: &MachineId) -> bool {
-    led.loaded && !led.handing_over && led.state.may_leave(id)
+    led.is_active() && led.state.may_leave(id)
 }
 
 /// Marks machines as leaving. Returns the records to store for them.
--- a/crates/pulleywood-controller/src/shard/transfers.rs
+++ b/crates/pulleywood-controller/src/shard/transfers.rs
@@ -73,7 +73,7 @@
     let controller = &mut *guard;
     let config = Arc::clone(&controller.config);
     let led = controller.led_shards.get_mut(&from);
-    let Some(led) = led.filter(|led| led.loaded && !led.handing_over) else {
+    let Some(led) = led.filter(|led| led.is_active()) else {
         return Vec::new();
     };
     let offers = led.state.offer_tasks(demand, &config).into_iter();
--- a/crates/pulleywood-controller/src/state/led_shard.rs
+++ b/crates/pulleywood-controller/src/state/led_shard.rs
@@ -36,3 +36,11 @@
     /// The previous leader, as long as it may still respond to workers.
     pub previous_leader: Option<LeaseHolder>,
 }
+
+impl LedShard {
+    /// Whether the shard can be worked on: it is loaded, and it is not being handed over to a
+    /// controller that may lead it already.
+    pub fn is_active(&self) -> bool {
+        self.loaded && !self.handing_over
+    }
+}
