--- a/crates/pulleywood-controller/src/state/tests.rs
+++ b/crates/pulleywood-controller/src/state/tests.rs
@@ -4,7 +4,7 @@
 use pulleywood_protocol::job_batch::{BatchHead, JobBatchRecord};
 use pulleywood_protocol::machine_batch::MachineBatchRecord;
 use pulleywood_protocol::peer::Digest;
-use pulleywood_protocol::record::{JobRecord, LeaseHolder, MachineRecord, TaskSet};
+use pulleywood_protocol::record::{JobRecord, LAYOUT, Layout, LeaseHolder, MachineRecord, TaskSet};
 use pulleywood_protocol::settings::Settings;
 use pulleywood_protocol::store::Event;
 use pulleywood_protocol::time::secs;
@@ -469,3 +469,18 @@
         }
     }
 }
+
+#[test]
+fn a_shard_that_never_had_a_leader_is_vacant_since_the_layout_is_known() {
+    // Without that, only the controller that it prefers acquires it, which may not run.
+    let mut controller = controller();
+    let layout = Event {
+        write: Some(LAYOUT.into()),
+        delete: None,
+        value: Some(cbor::to_value(&Layout { shards: 2 })),
+        revision: Revision(1),
+    };
+    controller.apply_event(layout, at(5));
+    let expected = BTreeMap::from([(ShardId(0), at(5)), (ShardId(1), at(5))]);
+    assert_eq!(controller.cached.vacant_since, expected);
+}
