Review: drop the case that review/1 already shows, and number the others from 4

Cause: part two of the review reads the earlier cases; review/1 shows that a transaction refused for its size blocks the done records of other jobs, which the first of the new cases showed by another way in. The stand-ins look at ports of their own, write each submission to the record, and end with run.sh. Nothing outside review/.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,7 +7,15 @@
     echo "the build of deploy/service.toml and review/build-2.sh come first" >&2
     exit 2
 fi
+# The program and the controllers that it starts are a process group, so that all of them end
+# also if this script is interrupted.
+set -m
+"$program" same-place "$PWD" "$PWD/review/7" &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "${TMPDIR:-/tmp}/pulleywood-review-$group"; exit 2' INT TERM HUP
 status=0
-"$program" hoarded-limit "$PWD" "$PWD/review/7" || status=$?
+wait "$group" || status=$?
+kill -KILL -- "-$group" 2>/dev/null
+rm -rf "${TMPDIR:-/tmp}/pulleywood-review-$group"
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -21,6 +21,7 @@
         "cloud-trouble" => cloud_trouble(root, world, trouble),
         "same-place" => same_place(root, world, trouble),
         "hoarded-limit" => hoarded_limit(root, world, trouble),
+        "stuck-machine" => stuck_machine(root, world, trouble),
         "fuzz" => crate::fuzz::fuzz(root, world),
         _ => Outcome::CouldNotRun(format!("there is no case {case}")),
     }
@@ -768,3 +769,69 @@
         Some(_) => Outcome::Held(format!("{task} was launched after {waited:.1} s")),
     }
 }
+
+/// Whether a transaction marks a machine as on its way back to the cloud.
+fn marks_a_release(txn: &Value) -> bool {
+    list_of(txn, "apply").iter().any(|write| {
+        text_of(write, "write").is_some_and(|path| path.starts_with("c/rack/"))
+            && field(write, "value")
+                .is_some_and(|value| json(value).to_string().contains("\"retiring\":true"))
+    })
+}
+
+fn stuck_machine(root: &Path, world: Arc<World>, trouble: bool) -> Outcome {
+    // What the cloud has by the site file.
+    let options = options(&[
+        ("delft-zaal", true, 7),
+        ("utrecht-zaal", true, 7),
+        ("delft-zaal", false, 7),
+        ("utrecht-zaal", false, 7),
+    ]);
+    let cluster = Cluster::new(root, Arc::clone(&world), delta(), vec![polder12()], options);
+    cluster.cloud.add_up("vm-000001", 0, "delft-zaal", false);
+    if trouble {
+        cluster.store.begin_outage_with(marks_a_release);
+    }
+    if let Err(outcome) = start(&cluster) {
+        return outcome;
+    }
+    let until = world.now() + 25.0;
+    if trouble {
+        while !cluster.store.in_outage() {
+            if world.now() > until {
+                return Outcome::CouldNotRun("no machine was given back".into());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        world.say("the state service has an outage, which caught the transaction that gives vm-000001 back");
+        std::thread::sleep(Duration::from_millis(7500));
+        cluster.store.end_outage();
+        world.say("the outage is over");
+    } else {
+        sleep_until(&world, 24.0);
+    }
+    let job = with(herrastering(1, 1), &[("haul_s", Value::Float(5.0))]);
+    let status = cluster.submit(&job, |_| Some(5.0));
+    let accepted = world.now();
+    world.say(&format!(
+        "j-000001, one task of 5 s, was answered with {status}"
+    ));
+    let mut least = (f64::MAX, f64::MAX);
+    while world.launched_at("j-000001/0").is_none() && world.now() < (accepted + 91.0).min(117.5) {
+        let free = cluster.cloud.free_on("vm-000001").unwrap_or_default();
+        least = (least.0.min(free.0), least.1.min(free.1));
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    let waited = world
+        .launched_at("j-000001/0")
+        .unwrap_or_else(|| world.now())
+        - accepted;
+    world.say(&format!("j-000001/0 waited {waited:.1} s; vm-000001 never had less than {least:?} processors and GPUs free"));
+    match world.launched_at("j-000001/0") {
+        None if waited >= 90.0 && least.0 >= 5.0 && least.1 >= 1.0 => Outcome::Broken(format!(
+            "j-000001 was left waiting for {waited:.0} s while vm-000001 had room for it"
+        )),
+        None => Outcome::CouldNotRun("the time or the room did not suffice".into()),
+        Some(_) => Outcome::Held(format!("j-000001 was launched after {waited:.1} s")),
+    }
+}
--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -319,6 +319,8 @@
         };
         self.world.jobs.lock().insert(uid.clone(), job);
         let body = encode(spec);
+        self.world
+            .note(&format!("user: the submission is {}", json(spec)));
         let until = self.world.now() + 60.0;
         let mut node = fastrand::usize(..self.addresses.len());
         loop {
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -69,10 +69,16 @@
     last_lease: u64,
     requests: Bucket,
     writes: Bucket,
+    outage: bool,
 }
 
+/// Whether an outage begins that catches this transaction: it is not executed, and its sender
+/// gets no answer.
+type OutageTrigger = Box<dyn Fn(&Value) -> bool + Send + Sync>;
+
 pub struct Store {
     limits: Rates,
+    outage_trigger: Mutex<Option<OutageTrigger>>,
     state: Mutex<State>,
     changed: Condvar,
     pub notes: Mutex<Vec<String>>,
@@ -95,8 +101,10 @@
                 last_lease: 0,
                 requests: Bucket::new(limits.rps, 1.0),
                 writes: Bucket::new(limits.write_rps, 1.0),
+                outage: false,
             }),
             limits,
+            outage_trigger: Mutex::new(None),
             changed: Condvar::new(),
             notes: Mutex::default(),
         });
@@ -105,7 +113,9 @@
             loop {
                 std::thread::sleep(Duration::from_millis(20));
                 let mut state = expirer.state.lock();
-                state.expire(Instant::now());
+                if !state.outage {
+                    state.expire(Instant::now());
+                }
                 expirer.changed.notify_all();
             }
         });
@@ -121,6 +131,27 @@
             .address
     }
 
+    /// An outage begins with the first transaction that this holds for.
+    pub fn begin_outage_with(&self, trigger: impl Fn(&Value) -> bool + Send + Sync + 'static) {
+        *self.outage_trigger.lock() = Some(Box::new(trigger));
+    }
+
+    pub fn in_outage(&self) -> bool {
+        self.state.lock().outage
+    }
+
+    /// Ends an outage: all leases get their full time again.
+    pub fn end_outage(&self) {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        for (ends, ttl) in state.leases.values_mut() {
+            *ends = now + *ttl;
+        }
+        state.outage = false;
+        drop(state);
+        self.changed.notify_all();
+    }
+
     pub fn keys(&self, prefix: &str) -> Vec<(String, Value)> {
         let state = self.state.lock();
         let found = state.keys.iter().filter(|(k, _)| k.starts_with(prefix));
@@ -129,6 +160,9 @@
 
     fn refused(&self) -> Option<Response> {
         let mut state = self.state.lock();
+        if state.outage {
+            return Some(Response::status(503));
+        }
         (!state.requests.take(1.0)).then(|| Response::status(429))
     }
 
@@ -136,6 +170,18 @@
         let Some(txn) = decode(body) else {
             return Response::status(400);
         };
+        let caught = self
+            .outage_trigger
+            .lock()
+            .as_ref()
+            .is_some_and(|trigger| trigger(&txn));
+        if caught {
+            *self.outage_trigger.lock() = None;
+            self.state.lock().outage = true;
+            // Longer than any controller waits.
+            std::thread::sleep(Duration::from_secs(6));
+            return Response::status(503);
+        }
         let (conditions, writes) = (list_of(&txn, "if"), list_of(&txn, "apply"));
         let mut state = self.state.lock();
         if !writes.is_empty() && !state.writes.take(writes.len() as f64) {
@@ -226,6 +272,10 @@
         let deadline = Instant::now() + Duration::from_millis(number("wait_ms").min(60_000));
         let mut state = self.state.lock();
         loop {
+            if state.outage {
+                self.changed.wait_for(&mut state, Duration::from_millis(50));
+                continue;
+            }
             if from < state.complete_from {
                 return Response::status(410);
             }
