Keep the zones of transferred tasks as one task set a zone

Cause: a leader kept the zone of each task that another shard had transferred to it in a map by task index, with a copy of the zone's name for each: half of a spread job's tasks, whether they run or wait. All other sets of tasks are bit sets. A record that is read again builds the map once more.

Change: ZoneBindings, a module of its own, has one set of tasks a zone.

--- a/crates/pulleywood-scheduler/src/placement/filter.rs
+++ b/crates/pulleywood-scheduler/src/placement/filter.rs
@@ -31,7 +31,7 @@
     zone: &str,
 ) -> bool {
     let spec = &job.spec;
-    if let Some(bound_zone) = job.zone_bindings.get(&task_index) {
+    if let Some(bound_zone) = job.zone_bindings.zone_of(task_index) {
         return bound_zone == zone;
     }
     if spec.one_zone && tasks_by_zone.keys().any(|other| other != zone) {
--- a/crates/pulleywood-scheduler/src/shard/digest.rs
+++ b/crates/pulleywood-scheduler/src/shard/digest.rs
@@ -213,11 +213,12 @@
         placed: &BTreeMap<String, u32>,
     ) -> BTreeMap<String, u32> {
         let mut counts: BTreeMap<String, u32> = BTreeMap::new();
-        let mut unbound = 0;
-        for index in job.waiting.iter() {
-            match job.zone_bindings.get(&index) {
-                Some(zone) => *counts.entry(zone.clone()).or_insert(0) += 1,
-                None => unbound += 1,
+        let mut unbound = job.waiting.len();
+        for (zone, bound) in job.zone_bindings.bound_here() {
+            let count = job.waiting.iter().filter(|&i| bound.contains(i)).count() as u32;
+            if count > 0 {
+                counts.insert(zone.to_owned(), count);
+                unbound -= count;
             }
         }
         let limit = job.spec.zone_limit();
--- a/crates/pulleywood-scheduler/src/shard/job.rs
+++ b/crates/pulleywood-scheduler/src/shard/job.rs
@@ -5,6 +5,7 @@
 //! it; other modules change the sets only through them.
 
 use crate::shard::health::Health;
+use crate::shard::zone_bindings::ZoneBindings;
 use pulleywood_protocol::job::Shape;
 use pulleywood_protocol::record::{JobRecord, TaskSet, TaskTransfer};
 use pulleywood_protocol::{Attempt, JobSpec, MachineId, MonotonicTime, Revision, ShardId};
@@ -37,11 +38,8 @@
     pub(super) offered: TaskSet,
     /// The zone that the offered tasks are bound to, if any.
     pub(super) offered_zone: Option<String>,
-    /// Zones that tasks transferred to this shard are bound to, by task index.
-    pub zone_bindings: BTreeMap<u32, String>,
-    /// Number of tasks that are bound to each zone and were transferred to other
-    /// shards.
-    pub(super) transferred_by_zone: BTreeMap<String, u32>,
+    /// Zones that transferred tasks are bound to.
+    pub zone_bindings: ZoneBindings,
     /// Whether the record must be rewritten unchanged, to resolve an offer whose
     /// outcome is unknown.
     pub(super) needs_rewrite: bool,
@@ -80,7 +78,6 @@
         maybe_launched_before: bool,
         now: MonotonicTime,
     ) -> Job {
-        let zones = ZoneBindings::of(record, shard);
         Job {
             spec: Arc::new(record.spec.clone()),
             submitted_at_ms: record.accepted_at_ms,
@@ -92,8 +89,7 @@
             assigned,
             offered: TaskSet::new(),
             offered_zone: None,
-            zone_bindings: zones.bound_here,
-            transferred_by_zone: zones.transferred_by_zone,
+            zone_bindings: ZoneBindings::of(record, shard),
             needs_rewrite: false,
             done: TaskSet::new(),
             committed: TaskSet::new(),
@@ -117,13 +113,11 @@
         shard: ShardId,
         committed: &TaskSet,
     ) {
-        let zones = ZoneBindings::of(record, shard);
         self.in_job_batch = false;
         self.revision = revision;
         self.transferred.clone_from(&record.transferred);
         self.assigned = record.share(shard);
-        self.zone_bindings = zones.bound_here;
-        self.transferred_by_zone = zones.transferred_by_zone;
+        self.zone_bindings = ZoneBindings::of(record, shard);
         self.mark_committed(committed);
         self.resolve_offer();
     }
@@ -246,31 +240,3 @@
         spec.shape != Shape::Gang && (spec.tasks == 1 || !spec.one_zone)
     }
 }
-
-/// Zones to which the transfers in a job's record bind tasks.
-struct ZoneBindings {
-    /// Zones of tasks that were transferred to this shard, by task index.
-    bound_here: BTreeMap<u32, String>,
-    /// Number of bound tasks that were transferred to other shards, by zone.
-    transferred_by_zone: BTreeMap<String, u32>,
-}
-
-impl ZoneBindings {
-    fn of(record: &JobRecord, shard: ShardId) -> ZoneBindings {
-        let mut bound_here = BTreeMap::new();
-        let mut transferred_by_zone = BTreeMap::new();
-        for transfer in &record.transferred {
-            let Some(zone) = &transfer.zone else { continue };
-            let tasks = record.transferred_tasks(transfer);
-            if transfer.shard == shard {
-                bound_here.extend(tasks.iter().map(|index| (index, zone.clone())));
-            } else {
-                *transferred_by_zone.entry(zone.clone()).or_insert(0) += tasks.len();
-            }
-        }
-        ZoneBindings {
-            bound_here,
-            transferred_by_zone,
-        }
-    }
-}
--- a/crates/pulleywood-scheduler/src/shard/mod.rs
+++ b/crates/pulleywood-scheduler/src/shard/mod.rs
@@ -37,10 +37,12 @@
 pub mod transfer;
 mod unreported;
 mod usage;
+mod zone_bindings;
 
 pub use heartbeat::HeartbeatOutcome;
 pub use job::Job;
 pub use reconcile::TaskStart;
+pub use zone_bindings::ZoneBindings;
 
 use crate::launch_validity::SuspendedJobs;
 use crate::machine_types::MachineTypeDemand;
--- a/crates/pulleywood-scheduler/src/shard/transfer.rs
+++ b/crates/pulleywood-scheduler/src/shard/transfer.rs
@@ -119,7 +119,7 @@
                 *zones.entry(machine.record.zone.clone()).or_insert(0) += 1;
             }
         }
-        for (zone, count) in &job.transferred_by_zone {
+        for (zone, count) in job.zone_bindings.transferred() {
             *zones.entry(zone.clone()).or_insert(0) += count;
         }
         if let Some(zone) = &job.offered_zone {
@@ -150,7 +150,7 @@
 /// tasks and [`MAX_RANGES`] ranges. A task that is already bound to a zone stays bound
 /// to it.
 fn tasks_to_offer(job: &Job, zone: Option<&String>, max_tasks: u32) -> TaskSet {
-    let fits = |index: u32| match (zone, job.zone_bindings.get(&index)) {
+    let fits = |index: u32| match (zone, job.zone_bindings.zone_of(index)) {
         (Some(zone), Some(bound)) => zone == bound,
         (None, Some(_)) => false,
         (_, None) => true,
