Pass over all waiting tasks that are bound to a zone without room together

What callers would see: a controller with 4% of a core that answers late or not at all while it has spread jobs of many tasks.

Cause: when a task bound to a zone found no machine, a plan went on to the job's next task, for each of up to 50,000 tasks a job bound to the same full zone, in assignment and in preemption. A plan is made up to several times a second.

Change: WaitingTasks gives a cycle the waiting tasks in order and drops all tasks that may run in the same zones as one that found no machine; preemption returns to them once a task was placed, as that may change what may be stopped. A plan counts the tasks for which it looked for a machine.

--- a/crates/pulleywood-scheduler/src/placement/assign.rs
+++ b/crates/pulleywood-scheduler/src/placement/assign.rs
@@ -5,6 +5,7 @@
 use super::filter::zone_allows;
 use super::queue::{QueuedJob, add_usage};
 use super::score::{ScoredCandidate, warm_completions_per_s};
+use super::waiting_tasks::WaitingTasks;
 use crate::machine_types::MachineTypes;
 use crate::resources::ResourceVector;
 use crate::shard::Job;
@@ -78,14 +79,15 @@
         }
         let mut outcome = AssignOutcome::Complete;
         let mut tasks_left_to_preemption = 0;
-        let waiting = job
-            .waiting
-            .iter()
-            .filter(|task_index| !planned.contains(task_index));
-        for task_index in waiting.take(queued.task_limit as usize) {
+        let mut waiting = WaitingTasks::new(job, &planned);
+        for _ in 0..queued.task_limit {
+            let Some(task_index) = waiting.next() else {
+                break;
+            };
             if !self.quota_allows(spec, &self.usage) {
                 return AssignOutcome::Complete;
             }
+            self.tasks_considered += 1;
             match self.assign_task(queued.job_id, task_index, &mut assignment) {
                 TaskOutcome::Assigned | TaskOutcome::WaitsForWarmMachine => {}
                 TaskOutcome::WaitsForPreemption => {
@@ -96,10 +98,10 @@
                     }
                 }
                 // The job's other tasks may be bound to zones that have room.
-                TaskOutcome::NoCandidate if !job.zone_bindings.is_empty() => {
+                TaskOutcome::NoCandidate => {
                     outcome = AssignOutcome::LacksCapacity;
+                    waiting.pass_over_bound_like(task_index);
                 }
-                TaskOutcome::NoCandidate => return AssignOutcome::LacksCapacity,
             }
         }
         outcome
--- a/crates/pulleywood-scheduler/src/placement/mod.rs
+++ b/crates/pulleywood-scheduler/src/placement/mod.rs
@@ -28,6 +28,7 @@
 mod reserve;
 mod score;
 mod victims;
+mod waiting_tasks;
 
 use crate::config::Config;
 use crate::placement::assign::AssignOutcome;
@@ -63,6 +64,8 @@
     preemptions: Vec<Preemption>,
     /// Number of (job, machine) pairs examined, a measure of the cycle's cost.
     candidates_examined: u64,
+    /// Number of waiting tasks for which a machine was looked for, likewise.
+    tasks_considered: u64,
 }
 
 impl ShardState {
@@ -79,6 +82,7 @@
         let plan = self.make_plan(reporter, now, config);
         self.planned_launches = plan.launches;
         self.candidates_examined += plan.candidates_examined;
+        self.tasks_considered += plan.tasks_considered;
         for preemption in plan.preemptions {
             let machine = self.machines.get_mut(&preemption.machine);
             if let Some(slot) = machine.and_then(|m| m.slots.get_mut(preemption.slot)) {
@@ -137,6 +141,8 @@
     teams_considered_for_reservation: Vec<&'a str>,
     /// Number of (job, candidate) pairs examined.
     candidates_examined: Cell<u64>,
+    /// Number of waiting tasks for which a machine was looked for.
+    tasks_considered: u64,
 }
 
 impl<'a> SchedulingCycle<'a> {
@@ -174,6 +180,7 @@
             starved_job_has_reservation: false,
             teams_considered_for_reservation: Vec::new(),
             candidates_examined: Cell::new(0),
+            tasks_considered: 0,
         }
     }
 
@@ -208,6 +215,7 @@
     fn finish(self) -> Plan {
         let mut plan = Plan {
             candidates_examined: self.candidates_examined.get(),
+            tasks_considered: self.tasks_considered,
             ..Plan::default()
         };
         for candidate in self.candidates {
--- a/crates/pulleywood-scheduler/src/placement/preempt.rs
+++ b/crates/pulleywood-scheduler/src/placement/preempt.rs
@@ -4,6 +4,7 @@
 use super::claim::{Claim, Preemptable};
 use super::filter::zone_allows;
 use super::queue::{QueuedJob, add_usage};
+use super::waiting_tasks::WaitingTasks;
 use crate::machine_types::MachineTypes;
 use crate::resources::ResourceVector;
 use crate::shard::Job;
@@ -53,14 +54,12 @@
         let mut claim = self.claim(spec, &usage);
         let request = self.preemption_request(job, &claim);
         let mut options = self.placement_options(&request, &claim);
-        for task_index in job
-            .waiting
-            .iter()
-            .filter(|task_index| !planned.contains(task_index))
-        {
+        let mut waiting = WaitingTasks::new(job, &planned);
+        while let Some(task_index) = waiting.next() {
             if options.is_empty() || !self.quota_allows(spec, &usage) {
                 return;
             }
+            self.tasks_considered += 1;
             let cheapest = self.take_cheapest_option(
                 &request,
                 &claim,
@@ -74,10 +73,8 @@
                 ..
             }) = cheapest
             else {
-                if job.zone_bindings.is_empty() {
-                    return;
-                }
                 // The job's other tasks may be bound to zones that have room.
+                waiting.pass_over_bound_like(task_index);
                 continue;
             };
             self.apply_option(queued, &request.need, task_index, candidate_index, victims);
@@ -86,6 +83,7 @@
                 .or_insert(0) += 1;
             add_usage(&mut usage, &spec.team, request.need.slots());
             let next_claim = self.claim(spec, &usage);
+            waiting.reconsider();
             if next_claim != claim {
                 claim = next_claim;
                 options = self.placement_options(&request, &claim);
--- a/crates/pulleywood-scheduler/src/shard/mod.rs
+++ b/crates/pulleywood-scheduler/src/shard/mod.rs
@@ -102,6 +102,8 @@
     /// How many times a machine was examined for a job, over all plans: the cost of
     /// planning.
     pub candidates_examined: u64,
+    /// For how many waiting tasks a machine was looked for, over all plans, likewise.
+    pub tasks_considered: u64,
     /// Number of attempts issued under the current fencing token.
     attempts_issued: u64,
     /// Tasks first seen running since the last [`ShardState::take_task_starts`].
@@ -141,6 +143,7 @@
             planned_at: None,
             dirty_jobs: BTreeSet::new(),
             candidates_examined: 0,
+            tasks_considered: 0,
             attempts_issued: 0,
             task_starts: Vec::new(),
             failing_jobs: BTreeSet::new(),
--- a/crates/pulleywood-scheduler/src/shard/zone_bindings.rs
+++ b/crates/pulleywood-scheduler/src/shard/zone_bindings.rs
@@ -46,6 +46,22 @@
             .map(|(zone, _)| zone.as_str())
     }
 
+    /// Removes from a set all tasks that are bound like this one: to the same zone, or to
+    /// none.
+    pub(crate) fn remove_bound_like(&self, index: u32, tasks: &mut TaskSet) {
+        let mut bound = self.bound_here.values();
+        match bound.find(|bound| bound.contains(index)) {
+            Some(same_zone) => tasks.remove_all(same_zone),
+            None => {
+                let mut all_bound = TaskSet::new();
+                self.bound_here
+                    .values()
+                    .for_each(|bound| all_bound.insert_all(bound));
+                tasks.retain_all(&all_bound);
+            }
+        }
+    }
+
     /// Tasks of this shard by the zone that they are bound to.
     pub(crate) fn bound_here(&self) -> impl Iterator<Item = (&str, &TaskSet)> {
         let bound = self.bound_here.iter();
--- a/crates/pulleywood-scheduler/tests/work.rs
+++ b/crates/pulleywood-scheduler/tests/work.rs
@@ -6,8 +6,9 @@
 
 use common::*;
 use pulleywood_protocol::cbor::{self, Amount};
+use pulleywood_protocol::record::TaskSet;
 use pulleywood_protocol::worker::{Cause, HeartbeatResponse, TaskState};
-use pulleywood_protocol::{Attempt, FencingToken, Revision, TaskId};
+use pulleywood_protocol::{Attempt, FencingToken, Revision, ShardId, TaskId};
 use pulleywood_scheduler::resources::MAX_TASKS_PER_MACHINE;
 
 /// Maximum bytes of a message to or from a worker.
@@ -248,3 +249,35 @@
         );
     }
 }
+
+/// Guards against controllers that answer nothing while they plan: each plan looked for a machine
+/// for each of 50,000 tasks that were bound to a zone without room.
+#[test]
+fn tasks_bound_to_a_full_zone_are_passed_over_together() {
+    const MAX_CONSIDERED: u64 = 100;
+    for tasks in [1_000, 100_000] {
+        let mut harness = ShardHarness::new(&["a", "b"]);
+        let mut record = job_record(spec(1, tasks));
+        record.spec.spread = true;
+        record.shard = ShardId(1);
+        let received = TaskSet::from(tasks / 2..tasks);
+        record.transfer_tasks(SHARD, Some("b"), &received);
+        let (state, config) = (&mut harness.state, &harness.config);
+        state.put_job(&record, Revision(2), false, at(0.0), config);
+        let mut launched = 0;
+        for (machine, seq) in [(1, 1), (0, 1), (0, 2)] {
+            let heartbeat = harness.heartbeat(machine, seq, vec![]);
+            let commands = harness.heartbeat_and_answer(&heartbeat, seq as f64);
+            launched += launches(&commands).len();
+        }
+        assert_eq!(
+            launched, 4,
+            "{tasks} tasks: all that the machine in zone b has room for"
+        );
+        let considered = harness.state.tasks_considered;
+        assert!(
+            considered <= MAX_CONSIDERED,
+            "{tasks} tasks: {considered} considered"
+        );
+    }
+}
