Sum a team's waiting tasks once a plan, not for each job that found no room

Cause: reserve() walked the team's queue for each job that could not be placed, though a team is considered for a reservation once a plan: work that grows with the square of the waiting jobs, at each plan. The sums of waiting tasks, here and in a digest's demand, could also exceed 32 bits.

Change: the sum is taken where it is used, in a pointer-sized integer; demand saturates.

A regression test by count isn't included; the existing tests of reservations hold.

--- a/crates/pulleywood-scheduler/src/placement/reserve.rs
+++ b/crates/pulleywood-scheduler/src/placement/reserve.rs
@@ -17,21 +17,14 @@
         if queued.is_starved() && !self.starved_job_has_reservation {
             self.starved_job_has_reservation = self.reserve_machines(queued, 1) > 0;
         }
-        let queue = queues.get(queued.job.spec.team.as_str());
-        let same_rank = queue
-            .into_iter()
-            .flatten()
-            .filter(|other| other.rank == queued.rank);
-        let waiting_tasks = same_rank.map(|other| other.job.waiting.len()).sum::<u32>();
-        self.reserve_fair_share(queued, waiting_tasks + queued.job.waiting.len());
+        self.reserve_fair_share(queued, queues);
     }
 
     /// Reserves machines for a team whose large tasks cannot start because another
     /// team's smaller tasks hold more than their fair share. It reserves half of the
     /// difference between the shares, once per cycle and team. Nothing is reserved if
     /// tasks may be preempted for the job, since preemption then frees the resources.
-    /// `waiting_tasks` is an upper bound of the team's waiting tasks.
-    fn reserve_fair_share(&mut self, queued: &QueuedJob<'a>, waiting_tasks: u32) {
+    fn reserve_fair_share(&mut self, queued: &QueuedJob<'a>, queues: &Queues<'a>) {
         let spec: &'a JobSpec = &queued.job.spec;
         let is_only_running_team = self.running_teams.iter().all(|team| *team == spec.team);
         let was_considered = self
@@ -56,7 +49,7 @@
         if share_gap > 0.0 && share_per_task > 0.0 {
             // Each task that one team gains is a task that the other team loses.
             let machine_count = (share_gap / share_per_task / 2.0).floor() as usize;
-            self.reserve_machines(queued, machine_count.min(waiting_tasks as usize));
+            self.reserve_machines(queued, machine_count.min(waiting_tasks(queued, queues)));
         }
     }
 
@@ -114,6 +107,20 @@
     }
 }
 
+/// Returns an upper bound of the waiting tasks of an entry's team and rank, of which the entry
+/// has been taken from its queue.
+fn waiting_tasks(queued: &QueuedJob<'_>, queues: &Queues<'_>) -> usize {
+    let queue = queues.get(queued.job.spec.team.as_str());
+    let same_rank = queue
+        .into_iter()
+        .flatten()
+        .filter(|other| other.rank == queued.rank);
+    same_rank
+        .chain([queued])
+        .map(|entry| entry.job.waiting.len() as usize)
+        .sum()
+}
+
 /// Returns a machine's capacity without the resources of service tasks, which do not
 /// end by themselves.
 fn capacity_without_services(candidate: &CandidateMachine<'_>) -> ResourceVector {
--- a/crates/pulleywood-scheduler/src/shard/digest.rs
+++ b/crates/pulleywood-scheduler/src/shard/digest.rs
@@ -288,7 +288,7 @@
     let (before, more) = (f64::from(existing.count), f64::from(item.count));
     existing.remaining_work_s =
         (existing.remaining_work_s * before + item.remaining_work_s * more) / (before + more);
-    existing.count += item.count;
+    existing.count = existing.count.saturating_add(item.count);
 }
 
 /// Whether two demands differ only in task count and work.
