Refuse new jobs before the live ones take more memory than a controller has

Users may submit any number of jobs, and a controller kept all of them, so enough accepted jobs ended each controller that led their shard, and again after each restart.

Cause: nothing related accepted work to a controller's memory.

Change: each controller counts the bytes that live jobs take, from their records alone, so that all count the same and a restart counts it again. A submission that takes more than a sixteenth of what is left is answered 503 with Retry-After 5 s, unless its job is known. A quarter of the memory is for live jobs: half of that is shared, an equal part of the other half belongs to each team, so one team's flood keeps nobody else out. A log line says it, at most each 10 s, and the line on a loaded shard has the count. A leader that acquires a shard drops other shards' jobs page by page instead of holding the whole list. The fake store answers lists in pages, as the protocol has it.

--- a/crates/pulleywood-controller/src/api/job_status.rs
+++ b/crates/pulleywood-controller/src/api/job_status.rs
@@ -35,8 +35,8 @@
         return Ok(StoredJob::Final(state));
     }
     context.linearizable_reads.wait_for_read()?;
-    if let Some(done) = context.controller.lock().cached.live_jobs.get(id) {
-        return Ok(StoredJob::Live(*done));
+    if let Some(done) = context.controller.lock().cached.live_jobs.done(id) {
+        return Ok(StoredJob::Live(done));
     }
     // The job was not live at the time of that read, which may have delivered its final state.
     // If it has no final state now, it was never accepted.
--- a/crates/pulleywood-controller/src/api/users.rs
+++ b/crates/pulleywood-controller/src/api/users.rs
@@ -25,6 +25,8 @@
 const MAX_RETRY_S: f64 = 30.0;
 /// Delay after which a user retries if other submissions are already queued.
 const QUEUE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Delay after which a user retries if the live jobs take as much memory as they may, in seconds.
+const NO_MEMORY_RETRY_S: u32 = 5;
 
 /// Decision about a submission before anything is committed.
 enum SubmissionDecision {
@@ -147,11 +149,20 @@
 /// Refuses a job that can never run. A job that was accepted before, for instance under other
 /// settings, is never refused later.
 fn refuse_unless_known(context: &ControllerContext, id: &JobId, reason: &str) -> Response {
+    respond_if_known(context, id, || {
+        log::info!("refused job {id}: {reason}");
+        Response::status(422)
+    })
+}
+
+/// Responds with the state of a job, or as `otherwise` says if no job of this id was accepted.
+fn respond_if_known(
+    context: &ControllerContext,
+    id: &JobId,
+    otherwise: impl FnOnce() -> Response,
+) -> Response {
     match look_up_job(context, id) {
-        Ok(StoredJob::Unknown) => {
-            log::info!("refused job {id}: {reason}");
-            Response::status(422)
-        }
+        Ok(StoredJob::Unknown) => otherwise(),
         Ok(stored) => job_response(context, id, &stored),
         Err(e) => retry_later(&e),
     }
@@ -164,10 +175,13 @@
     shard: ShardId,
 ) -> SubmissionOutcome {
     let now = context.clock.now();
-    let record = context
-        .controller
-        .lock()
-        .new_job_record(spec, time_of_day_ms(), now);
+    let record = {
+        let mut controller = context.controller.lock();
+        if !controller.is_live(&spec.id) && !controller.admits_job(&spec, now) {
+            return SubmissionOutcome::NoMemory;
+        }
+        controller.new_job_record(spec, time_of_day_ms(), now)
+    };
     match commit_unbatched(context, shard, &record) {
         SubmissionOutcome::Refused(e @ StoreError::Budget(_)) => accept_batched(context, record, e),
         outcome => outcome,
@@ -217,11 +231,14 @@
             };
             Response::cbor(201, &answer)
         }
-        SubmissionOutcome::AlreadyExists => match look_up_job(context, &id) {
-            Ok(StoredJob::Unknown) => Response::retry_later(503, 1),
-            Ok(stored) => job_response(context, &id, &stored),
-            Err(e) => retry_later(&e),
-        },
+        SubmissionOutcome::AlreadyExists => {
+            respond_if_known(context, &id, || Response::retry_later(503, 1))
+        }
+        // It may be an ended job, whose user is told its state whatever the memory.
+        SubmissionOutcome::NoMemory => respond_if_known(context, &id, || {
+            log::debug!("refused job {id}: the live jobs take as much memory as they may");
+            Response::retry_later(503, NO_MEMORY_RETRY_S)
+        }),
         // The job may have been accepted; the user's retry finds the outcome.
         SubmissionOutcome::Refused(e) => {
             log::debug!("refused job {id}: {e}");
--- a/crates/pulleywood-controller/src/recovery/audit.rs
+++ b/crates/pulleywood-controller/src/recovery/audit.rs
@@ -86,7 +86,7 @@
     }
 
     fn is_job_cached(&self, job: &JobId) -> bool {
-        self.cached.live_jobs.contains_key(job)
+        self.is_live(job)
     }
 
     fn shard_has_job(&self, shard: ShardId, job: &JobId) -> bool {
@@ -173,7 +173,12 @@
         if self.has_own_write_since(id, item.revision) {
             return;
         }
-        self.cached.live_jobs.entry(id.clone()).or_insert(0);
+        match &entry {
+            JobEntry::Record(record) | JobEntry::Batched(record) => {
+                self.cached.live_jobs.put_new(record);
+            }
+            _ => self.cached.live_jobs.put_unreadable(id),
+        }
         let config = Arc::clone(&self.config);
         for led in self.led_shards.values_mut().filter(|led| led.loaded) {
             led.apply_job_entry(id, &entry, item.revision, true, now, &config);
--- a/crates/pulleywood-controller/src/shard/done_batches.rs
+++ b/crates/pulleywood-controller/src/shard/done_batches.rs
@@ -288,7 +288,7 @@
     let mut controller = context.controller.lock();
     let config = Arc::clone(&controller.config);
     // The watch may have delivered the job's end while it was read.
-    let is_live = controller.cached.live_jobs.contains_key(id);
+    let is_live = controller.is_live(id);
     let led = controller.led_shards.get_mut(&shard);
     let Some(led) = led.filter(|led| led.revision == shard_revision) else {
         return Ok(());
--- a/crates/pulleywood-controller/src/shard/load.rs
+++ b/crates/pulleywood-controller/src/shard/load.rs
@@ -3,26 +3,29 @@
 
 use super::announce::{Announcement, announce_fencing_token};
 use crate::state::{
-    CachedState, ControllerContext, DeferredChange, JobEntry, LedShard, decode_job_batch,
+    CachedState, ControllerContext, JobChange, JobEntry, LedShard, decode_job_batch,
     decode_machine_batch, job_entry,
 };
 use pulleywood_protocol::record::{JOB_BATCHES, JOBS, Key, MACHINE_BATCHES};
 use pulleywood_protocol::store::Item;
-use pulleywood_protocol::{MonotonicTime, Revision, ShardId};
+use pulleywood_protocol::{JobId, MonotonicTime, Revision, ShardId};
 use pulleywood_scheduler::Config;
 use pulleywood_transport::{RequestPriority, StoreError};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// All stored records that may belong to a shard.
+/// Stored records that belong to a shard.
 struct StoredRecords {
-    job_batches: Vec<Item>,
+    /// Jobs in job batches, then jobs with a record of their own, each before its
+    /// continuations.
+    jobs: Vec<JobChange>,
     /// Store revision at which the job batches were read.
     job_batches_revision: u64,
-    jobs: Vec<Item>,
+    /// All machine batches.
     machine_batches: Vec<Item>,
 }
 
@@ -50,7 +53,7 @@
     shard_revision: Revision,
 ) -> Option<StoredRecords> {
     loop {
-        match read_records(context) {
+        match read_records(context, shard) {
             Ok(records) => return Some(records),
             Err(StoreError::RevisionTooOld) => return None,
             Err(e) => {
@@ -67,20 +70,80 @@
 }
 
 /// Reads job batches first: a job that gets a record of its own in the meantime is then found
-/// among the jobs.
-fn read_records(context: &ControllerContext) -> Result<StoredRecords, StoreError> {
-    let list = |prefix| context.store.list(RequestPriority::ShardLeader, prefix);
-    let (job_batches, job_batches_revision) = list(JOB_BATCHES)?;
-    let (jobs, _) = list(JOBS)?;
-    let (machine_batches, _) = list(MACHINE_BATCHES)?;
+/// among the jobs. Jobs of other shards are dropped page by page, as all of them may take more
+/// memory than there is.
+fn read_records(context: &ControllerContext, shard: ShardId) -> Result<StoredRecords, StoreError> {
+    let priority = RequestPriority::ShardLeader;
+    let mut jobs = ShardJobs::new(shard);
+    let job_batches_revision = context.store.for_each_item(priority, JOB_BATCHES, |item| {
+        for change in jobs_in_batch(item) {
+            jobs.add(change);
+        }
+    })?;
+    // The list is sorted by key, so a job's record comes before its continuations.
+    context.store.for_each_item(priority, JOBS, |item| {
+        if let Some((id, entry)) = job_entry(&item) {
+            let revision = item.revision;
+            jobs.add(JobChange {
+                id,
+                entry,
+                revision,
+            });
+        }
+    })?;
+    let (machine_batches, _) = context.store.list(priority, MACHINE_BATCHES)?;
     Ok(StoredRecords {
-        job_batches,
+        jobs: jobs.changes,
         job_batches_revision,
-        jobs,
         machine_batches,
     })
 }
 
+/// Jobs of one shard, as they are read from the store.
+struct ShardJobs {
+    shard: ShardId,
+    known: BTreeSet<JobId>,
+    changes: Vec<JobChange>,
+}
+
+impl ShardJobs {
+    fn new(shard: ShardId) -> ShardJobs {
+        ShardJobs {
+            shard,
+            known: BTreeSet::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Adds a job if it concerns the shard. A record of a job that is known from its job batch
+    /// is added in any case: all its tasks may have been transferred to other shards since.
+    fn add(&mut self, change: JobChange) {
+        if self.known.contains(&change.id) {
+            self.changes.push(change);
+        } else if change.entry.concerns(self.shard) {
+            self.known.insert(change.id.clone());
+            self.changes.push(change);
+        }
+    }
+}
+
+/// The jobs in a stored job batch.
+fn jobs_in_batch(item: Item) -> Vec<JobChange> {
+    let batch = decode_job_batch(&item.value, &item.path).unwrap_or_default();
+    let unreadable = batch.unreadable_ids().map(|id| (id, JobEntry::Unreadable));
+    let mut entries: Vec<(JobId, JobEntry)> = unreadable.collect();
+    entries.extend(batch.jobs.into_iter().map(|record| {
+        let id = record.spec.id.clone();
+        (id, JobEntry::Batched(Box::new(record)))
+    }));
+    let change = |(id, entry)| JobChange {
+        id,
+        entry,
+        revision: item.revision,
+    };
+    entries.into_iter().map(change).collect()
+}
+
 /// Adds the records to the shard's state. Returns the machines to which the fencing token is
 /// to be announced, or `None` if the shard is no longer led.
 fn put_records(
@@ -99,14 +162,15 @@
     for item in &records.machine_batches {
         put_machine_batch(shard, led, &controller.cached, item, &mut machines, now);
     }
-    for item in &records.job_batches {
-        put_job_batch(led, item, now, &config);
-    }
-    // The list is sorted by key, so a job's record comes before its continuations.
-    for item in &records.jobs {
-        if let Some((id, entry)) = job_entry(item) {
-            led.apply_job_entry(&id, &entry, item.revision, true, now, &config);
-        }
+    for change in records.jobs {
+        led.apply_job_entry(
+            &change.id,
+            &change.entry,
+            change.revision,
+            true,
+            now,
+            &config,
+        );
     }
     led.loaded = true;
     // This controller's own transactions were not applied to the shard while it was being
@@ -114,9 +178,11 @@
     controller.own_writes.clear();
     apply_deferred_changes(led, records.job_batches_revision, now, &config);
     log::info!(
-        "loaded shard {shard}: {} jobs, {} machines",
+        "loaded shard {shard}: {} jobs, {} machines; live jobs of all shards take {} bytes, limit {}",
         led.state.jobs.len(),
-        machines.len()
+        machines.len(),
+        controller.cached.live_jobs.memory().total(),
+        config.job_memory_limit
     );
     Some(machines)
 }
@@ -156,19 +222,6 @@
     }
 }
 
-fn put_job_batch(led: &mut LedShard, item: &Item, now: MonotonicTime, config: &Config) {
-    let batch = decode_job_batch(&item.value, &item.path).unwrap_or_default();
-    for id in batch.unreadable_ids() {
-        let entry = JobEntry::Unreadable;
-        led.apply_job_entry(&id, &entry, item.revision, true, now, config);
-    }
-    for record in batch.jobs {
-        let id = record.spec.id.clone();
-        let entry = JobEntry::Batched(Box::new(record));
-        led.apply_job_entry(&id, &entry, item.revision, true, now, config);
-    }
-}
-
 /// Applies the changes that the watch delivered during loading and that are newer than the
 /// records that were read.
 fn apply_deferred_changes(
@@ -178,13 +231,15 @@
     config: &Config,
 ) {
     for change in std::mem::take(&mut led.deferred_changes) {
-        let DeferredChange {
-            id,
-            entry,
-            revision,
-        } = change;
-        if revision.0 > read_revision {
-            led.apply_job_entry(&id, &entry, revision, false, now, config);
+        if change.revision.0 > read_revision {
+            led.apply_job_entry(
+                &change.id,
+                &change.entry,
+                change.revision,
+                false,
+                now,
+                config,
+            );
         }
     }
 }
--- a/crates/pulleywood-controller/src/state/cached_state.rs
+++ b/crates/pulleywood-controller/src/state/cached_state.rs
@@ -1,6 +1,6 @@
 //! The controller's copy of the watched keys.
 
-use super::Versioned;
+use super::{LiveJobs, Versioned};
 use pulleywood_protocol::job_batch::{BatchHead, JobBatches};
 use pulleywood_protocol::machine_batch::MachineBatches;
 use pulleywood_protocol::record::{Layout, LeaseHolder, MachineRecord, QuotaRecord};
@@ -27,8 +27,8 @@
     pub quotas: BTreeMap<ShardId, Versioned<QuotaRecord>>,
     /// Record and revision of each registered machine.
     pub machines: BTreeMap<MachineId, (MachineRecord, Revision)>,
-    /// Number of tasks recorded as done, for each job that has not ended.
-    pub live_jobs: BTreeMap<JobId, u32>,
+    /// Jobs that have not ended.
+    pub live_jobs: LiveJobs,
     /// Machines whose records cannot be decoded: no leader sends them commands.
     pub unreadable_machines: BTreeSet<MachineId>,
     /// Job batches, with the jobs in each.
--- a/crates/pulleywood-controller/src/state/controller_state.rs
+++ b/crates/pulleywood-controller/src/state/controller_state.rs
@@ -18,6 +18,9 @@
 /// Time after which accepted work shows in the digests of its shard.
 const DIGEST_LAG: Duration = Duration::from_millis(1500);
 
+/// Minimum time between two log lines about jobs that were refused for lack of memory.
+const MEMORY_REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Back-off during which this controller acquires no shard, as no worker reached it.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct AcquireBackoff {
@@ -100,6 +103,8 @@
     pub(super) former_boots: VecDeque<u64>,
     /// Cached digests of the led shards.
     pub(super) own_digests: OwnDigests,
+    /// When it was last logged that a job was refused because of the memory that live jobs take.
+    memory_refusal_logged_at: MonotonicTime,
     /// Work accepted by this controller that digests may not show yet.
     recently_accepted: Vec<AcceptedWork>,
 }
@@ -123,6 +128,7 @@
             machine_type_demand: MachineTypeDemand::default(),
             former_boots: VecDeque::new(),
             own_digests: OwnDigests::default(),
+            memory_refusal_logged_at: MonotonicTime::default(),
             recently_accepted: Vec::new(),
         }
     }
@@ -215,7 +221,25 @@
 
     /// Whether a job has been accepted and has not ended, as far as the cached state shows.
     pub fn is_live(&self, id: &JobId) -> bool {
-        self.cached.live_jobs.contains_key(id)
+        self.cached.live_jobs.contains(id)
+    }
+
+    /// Whether the live jobs leave memory for another one.
+    pub fn admits_job(&mut self, spec: &JobSpec, now: MonotonicTime) -> bool {
+        let memory = self.cached.live_jobs.memory();
+        let admitted = self.config.admits_job(memory, spec);
+        if !admitted && now.since(self.memory_refusal_logged_at) >= MEMORY_REFUSAL_LOG_INTERVAL {
+            self.memory_refusal_logged_at = now;
+            log::warn!(
+                "refused job {}: live jobs take {} bytes of memory, {} of them of team {}; limit {}",
+                spec.id,
+                memory.total(),
+                memory.of_team(&spec.team),
+                spec.team,
+                self.config.job_memory_limit
+            );
+        }
+        admitted
     }
 
     /// Whether a digest of the peer was received less than `age` ago.
--- a/crates/pulleywood-controller/src/state/events.rs
+++ b/crates/pulleywood-controller/src/state/events.rs
@@ -1,7 +1,7 @@
 //! Applying the changes of stored records that the watch delivers.
 
 use super::{
-    ControllerState, DeferredChange, JobEntry, Versioned, decode_job_batch, decode_machine_batch,
+    ControllerState, JobChange, JobEntry, Versioned, decode_job_batch, decode_machine_batch,
     decode_record,
 };
 use pulleywood_protocol::job_batch::{BatchHead, JobBatchRecord};
@@ -149,13 +149,13 @@
             }
             JobEntry::Unreadable => {
                 self.cached.jobs_with_own_record.insert(id.clone());
-                self.cached.live_jobs.entry(id.clone()).or_insert(0);
+                self.cached.live_jobs.put_unreadable(id);
             }
             JobEntry::Record(record) => {
                 self.cached.jobs_with_own_record.insert(id.clone());
                 let mut done = TaskSet::new();
                 done.add_chunk(&record.done, 0, self.config.chunk_tasks, record.spec.tasks);
-                self.cached.live_jobs.insert(id.clone(), done.len());
+                self.cached.live_jobs.put(record, done.len());
             }
             JobEntry::Batched(_) | JobEntry::Chunk(..) => {}
         }
@@ -191,7 +191,7 @@
             if led.loaded {
                 led.apply_job_entry(id, entry, revision, false, now, &config);
             } else {
-                led.deferred_changes.push(DeferredChange {
+                led.deferred_changes.push(JobChange {
                     id: id.clone(),
                     entry: entry.clone(),
                     revision,
@@ -210,14 +210,14 @@
     ) {
         let unreadable: Vec<JobId> = record.iter().flat_map(|r| r.unreadable_ids()).collect();
         for id in unreadable {
-            self.cached.live_jobs.entry(id.clone()).or_insert(0);
+            self.cached.live_jobs.put_unreadable(&id);
             self.apply_to_led_shards(&id, &JobEntry::Unreadable, revision, now);
         }
         let (added, removed) = self.cached.job_batches.put(number, record, revision);
         for record in added {
             let id = record.spec.id.clone();
             if !self.has_own_write_since(&id, revision) {
-                self.cached.live_jobs.entry(id.clone()).or_insert(0);
+                self.cached.live_jobs.put_new(&record);
             }
             self.apply_to_led_shards(&id, &JobEntry::Batched(Box::new(record)), revision, now);
         }
--- a/crates/pulleywood-controller/src/state/led_shard.rs
+++ b/crates/pulleywood-controller/src/state/led_shard.rs
@@ -5,8 +5,8 @@
 use pulleywood_protocol::{JobId, MonotonicTime, Revision};
 use pulleywood_scheduler::ShardState;
 
-/// A change of a job that the watch delivered while its shard was being loaded.
-pub struct DeferredChange {
+/// A change of a job in the store.
+pub struct JobChange {
     /// Id of the changed job.
     pub id: JobId,
     /// Stored state of the job after the change.
@@ -24,8 +24,9 @@
     /// Whether the shard's records have been read in full. Until then changes of jobs are
     /// added to `deferred_changes`.
     pub loaded: bool,
-    /// Changes of jobs to apply once the shard is loaded.
-    pub deferred_changes: Vec<DeferredChange>,
+    /// Changes of jobs that the watch delivered while the shard was being loaded, to apply once it
+    /// is.
+    pub deferred_changes: Vec<JobChange>,
     /// Whether the shard is being handed over to another controller: nothing is launched.
     pub handing_over: bool,
     /// When this process acquired the shard.
--- a/crates/pulleywood-controller/src/state/queues.rs
+++ b/crates/pulleywood-controller/src/state/queues.rs
@@ -47,6 +47,8 @@
     Accepted,
     /// A job with this id exists already, live or ended.
     AlreadyExists,
+    /// The job was not accepted, because the live jobs take as much memory as they may.
+    NoMemory,
     /// The job was not accepted, or it is not known whether it was; the user may retry.
     Refused(StoreError),
 }
--- a/crates/pulleywood-controller/src/state/records.rs
+++ b/crates/pulleywood-controller/src/state/records.rs
@@ -5,7 +5,7 @@
 use pulleywood_protocol::machine_batch::MachineBatchRecord;
 use pulleywood_protocol::record::{ChunkRecord, JobRecord, Key};
 use pulleywood_protocol::store::Item;
-use pulleywood_protocol::{JobId, MonotonicTime, Revision, cbor};
+use pulleywood_protocol::{JobId, MonotonicTime, Revision, ShardId, cbor};
 use pulleywood_scheduler::Config;
 use pulleywood_scheduler::shard::Job;
 
@@ -40,6 +40,19 @@
     }
 }
 
+impl JobEntry {
+    /// Whether a change matters to a shard that does not know the job.
+    pub fn concerns(&self, shard: ShardId) -> bool {
+        match self {
+            JobEntry::Record(record) | JobEntry::Batched(record) => {
+                record.shards().contains(&shard)
+            }
+            JobEntry::Unreadable => true,
+            JobEntry::Chunk(..) | JobEntry::Ended => false,
+        }
+    }
+}
+
 impl LedShard {
     /// Applies a change of a job. `inherited`: a previous leader may have launched tasks of
     /// the job.
--- a/crates/pulleywood-controller/tests/cluster/mod.rs
+++ b/crates/pulleywood-controller/tests/cluster/mod.rs
@@ -73,6 +73,10 @@
     pub machines: usize,
     /// Socket limit of each controller.
     pub max_sockets: u32,
+    /// Memory of each controller, in MB. Nothing enforces it.
+    pub ram_mb: f64,
+    /// Teams. The GPU limit applies to each.
+    pub teams: Vec<&'static str>,
     /// Policy scripts that the controllers run, in this order.
     pub policies: Vec<std::path::PathBuf>,
 }
@@ -87,6 +91,8 @@
             report_s: 0.2,
             machines: 4,
             max_sockets: 400,
+            ram_mb: 200.0,
+            teams: vec!["red"],
             policies: Vec::new(),
         }
     }
@@ -124,17 +130,25 @@
     }
 }
 
+fn team(name: &str, options: &ClusterOptions) -> Team {
+    Team {
+        name: name.into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus: 0.0,
+        gpus_max: options.gpu_limit,
+    }
+}
+
 fn cluster_settings(options: &ClusterOptions) -> Cluster {
     Cluster {
         initial_size: options.controllers as u32,
         zones: vec!["a".into()],
-        teams: vec![Team {
-            name: "red".into(),
-            cpus: 0.0,
-            cpus_max: 0.0,
-            gpus: 0.0,
-            gpus_max: options.gpu_limit,
-        }],
+        teams: options
+            .teams
+            .iter()
+            .map(|name| team(name, options))
+            .collect(),
         objectives: vec![],
         workers: Workers {
             report_s: options.report_s,
@@ -154,7 +168,7 @@
         resources: Resources {
             max_threads: 2000,
             cores: 1.0,
-            ram_mb: 200.0,
+            ram_mb: options.ram_mb,
             max_sockets: options.max_sockets,
         },
         clock_error_ms: 0.0,
@@ -405,6 +419,16 @@
         }
     }
 
+    /// Memory that the process of a controller holds, in MB: what is resident and not backed by
+    /// a file. `None` if it does not run.
+    pub fn memory_mb(&self, controller: usize) -> Option<f64> {
+        let id = self.processes[controller].as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        let kb: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kb / 1024.0)
+    }
+
     /// Sends a request to a controller. Returns the status and the body of the response, or
     /// status 0 if there is none.
     pub fn call(
--- /dev/null
+++ b/crates/pulleywood-scheduler/src/admission.rs
@@ -0,0 +1,122 @@
+//! Admission of new jobs by the memory that live jobs take.
+//!
+//! A job that was accepted must stay known, and any controller may have to lead all shards after
+//! the others have ended. So no more is accepted than one controller can hold, counted in bytes
+//! that follow from the jobs' records alone: every controller counts the same, also after a
+//! restart.
+//!
+//! Invariants: what a job counts doesn't depend on how many of its tasks wait; a team that has
+//! little is admitted whatever the others hold.
+
+use crate::config::Config;
+use pulleywood_protocol::JobSpec;
+use pulleywood_protocol::record::{JobRecord, TaskTransfer};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Bytes that a live job takes besides the contents of its record: its state at its shard's
+/// leader and its entries in the cached state.
+const JOB_BYTES: u64 = 3 * 1024;
+/// Bytes that a string takes besides its text: its header and the rounding of its allocation.
+const STRING_BYTES: u64 = 56;
+/// Number of copies of a transfer's text that its job takes: as it is stored, and as sets of
+/// tasks.
+const TRANSFER_COPIES: u64 = 4;
+/// Share of a controller's memory that live jobs may take. Reading all of them again takes as
+/// much once more for a time.
+const MEMORY_SHARE: f64 = 0.25;
+/// One submission takes at most this part of what is left. As memory fills up, large records are
+/// refused first.
+const MIN_SUBMISSIONS_LEFT: u64 = 16;
+
+/// Bytes of memory that live jobs may take, for a controller with this many MB.
+pub fn job_memory_limit(ram_mb: f64) -> u64 {
+    (ram_mb * 1024.0 * 1024.0 * MEMORY_SHARE) as u64
+}
+
+/// Bytes that a job takes once it is accepted.
+pub fn submission_bytes(spec: &JobSpec) -> u64 {
+    JOB_BYTES + spec_bytes(spec)
+}
+
+/// Bytes that a live job takes, by its record.
+pub fn job_bytes(record: &JobRecord) -> u64 {
+    let transfers: u64 = record.transferred.iter().map(transfer_bytes).sum();
+    submission_bytes(&record.spec) + transfers
+}
+
+fn spec_bytes(spec: &JobSpec) -> u64 {
+    let types = spec.types.iter().flatten();
+    [&spec.class, &spec.team, &spec.image]
+        .into_iter()
+        .chain(&spec.zone)
+        .chain(types)
+        .map(|text| string_bytes(text))
+        .sum()
+}
+
+fn transfer_bytes(transfer: &TaskTransfer) -> u64 {
+    let zone = transfer.zone.as_deref().unwrap_or_default();
+    string_bytes(zone) + string_bytes(&transfer.tasks) * TRANSFER_COPIES
+}
+
+fn string_bytes(text: &str) -> u64 {
+    text.len() as u64 + STRING_BYTES
+}
+
+/// Bytes that live jobs take, in total and by team.
+#[derive(Debug, Default)]
+pub struct JobMemory {
+    total: u64,
+    by_team: BTreeMap<Arc<str>, u64>,
+}
+
+impl JobMemory {
+    /// Counts a job of a team. Returns the team's name, which [`JobMemory::remove`] takes.
+    pub fn add(&mut self, team: &str, bytes: u64) -> Arc<str> {
+        self.total += bytes;
+        if let Some((name, _)) = self.by_team.get_key_value(team) {
+            let name = Arc::clone(name);
+            *self.by_team.entry(Arc::clone(&name)).or_default() += bytes;
+            return name;
+        }
+        let name: Arc<str> = team.into();
+        self.by_team.insert(Arc::clone(&name), bytes);
+        name
+    }
+
+    /// Counts a job of a team no longer.
+    pub fn remove(&mut self, team: &str, bytes: u64) {
+        self.total = self.total.saturating_sub(bytes);
+        if let Some(of_team) = self.by_team.get_mut(team) {
+            *of_team = of_team.saturating_sub(bytes);
+            if *of_team == 0 {
+                self.by_team.remove(team);
+            }
+        }
+    }
+
+    /// Bytes of all live jobs.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// Bytes of a team's live jobs.
+    pub fn of_team(&self, team: &str) -> u64 {
+        self.by_team.get(team).copied().unwrap_or(0)
+    }
+}
+
+impl Config {
+    /// Whether another job of a team may be accepted, besides the live jobs that are counted in
+    /// `memory`. Half of the limit is shared by all teams, each of which has an equal part of the
+    /// other half to itself.
+    pub fn admits_job(&self, memory: &JobMemory, spec: &JobSpec) -> bool {
+        let shared = self.job_memory_limit / 2;
+        let own = shared / (self.teams.len() as u64).max(1);
+        let left_of_shared = shared.saturating_sub(memory.total());
+        let left_of_own = own.saturating_sub(memory.of_team(&spec.team));
+        let left = left_of_shared.max(left_of_own);
+        submission_bytes(spec) <= left / MIN_SUBMISSIONS_LEFT
+    }
+}
--- a/crates/pulleywood-scheduler/src/config.rs
+++ b/crates/pulleywood-scheduler/src/config.rs
@@ -1,5 +1,6 @@
 //! Configuration of the scheduler: the platform's settings and the operators' policy.
 
+use crate::admission::job_memory_limit;
 use crate::resources::{ResourceVector, within_limit};
 use pulleywood_protocol::cbor::Amount;
 use pulleywood_protocol::cloud::Flavor;
@@ -118,6 +119,8 @@
     pub shards: u32,
     /// Maximum bytes of a stored value.
     pub value_bytes: usize,
+    /// Maximum bytes of memory that live jobs may take.
+    pub job_memory_limit: u64,
     /// Number of tasks that one chunk record of done tasks covers.
     pub chunk_tasks: u32,
     /// Zones that machines are in.
@@ -198,6 +201,7 @@
             max_batch_operations: cluster.state.txn_ops as usize,
             shards: 0,
             value_bytes: (cluster.state.value_kb * 1024.0) as usize,
+            job_memory_limit: job_memory_limit(cluster.resources.ram_mb),
             chunk_tasks: chunk_tasks(cluster.state.value_kb),
             zones: cluster.zones.clone(),
             controller_zones: controller_zones(settings),
--- a/crates/pulleywood-scheduler/src/lib.rs
+++ b/crates/pulleywood-scheduler/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`launch_validity`]: how long a leader may launch on what it has read, and when a
 //!   cancellation may be confirmed.
 //! - [`quota`]: how teams' limits are divided among shards.
+//! - [`admission`]: whether a new job is accepted, by the memory that live jobs take.
 //! - [`shard_selection`]: which shard runs a new job.
 //!
 //! The crate performs no I/O, reads no clock, starts no threads and draws no random
 //! numbers. Times are passed in, so that every rule can be covered by table-driven
 //! tests.
 
+pub mod admission;
 pub mod config;
 pub mod fleet;
 pub mod launch_validity;
--- a/crates/pulleywood-scheduler/tests/job_memory.rs
+++ b/crates/pulleywood-scheduler/tests/job_memory.rs
@@ -7,6 +7,7 @@
 use peak_alloc::PeakAlloc;
 use pulleywood_protocol::record::{JobRecord, TaskSet};
 use pulleywood_protocol::{Revision, Shape, ShardId};
+use pulleywood_scheduler::admission::job_bytes;
 
 #[global_allocator]
 static ALLOCATOR: PeakAlloc = PeakAlloc;
@@ -56,6 +57,30 @@
     }),
 ];
 
+/// Jobs whose records are about as large as a stored value may be.
+const LARGE_RECORDS: [Case; 3] = [
+    ("many types", |number, tasks| {
+        let mut record = job_record(spec(number, tasks));
+        record.spec.types = Some(vec!["g4".into(); 1300]);
+        record
+    }),
+    ("long names", |number, tasks| {
+        let mut record = job_record(spec(number, tasks));
+        record.spec.image = "i".repeat(400);
+        record.spec.types = Some(vec!["t".repeat(1000); 7]);
+        record
+    }),
+    ("scattered transfers", |number, tasks| {
+        let mut record = job_record(spec(number, tasks));
+        let scattered: Vec<String> = (0..1100).map(|i| (i * 50).to_string()).collect();
+        let mut received = TaskSet::new();
+        received.add_chunk(&scattered.join(","), 0, 1 << 20, tasks);
+        record.shard = ShardId(1);
+        record.transfer_tasks(SHARD, Some("b"), &received);
+        record
+    }),
+];
+
 /// A spread array job, half of which is transferred from one shard to another.
 fn spread_job(number: u64, tasks: u32, from: ShardId, to: ShardId) -> JobRecord {
     let mut record = job_record(spec(number, tasks));
@@ -84,6 +109,15 @@
     }
 }
 
+/// Checks that the bytes by which jobs are admitted are no fewer than what one takes.
+fn assert_counted(name: &str, job: fn(u64, u32) -> JobRecord, tasks: u32, kept: usize) {
+    let counted = job_bytes(&job(1, tasks));
+    assert!(
+        counted >= kept as u64,
+        "{name}: {counted} bytes are counted, {kept} taken"
+    );
+}
+
 fn put_all(shard: &mut ShardHarness, records: &[JobRecord], revision: Revision) {
     for record in records {
         let (state, config) = (&mut shard.state, &shard.config);
@@ -98,6 +132,7 @@
     for (name, job) in CASES {
         let small = bytes_per_job(job, 1000);
         let large = bytes_per_job(job, 100_000);
+        assert_counted(name, job, 100_000, large.kept);
         for (what, small, large) in [
             ("kept", small.kept, large.kept),
             ("at the peak", small.peak, large.peak),
@@ -110,4 +145,7 @@
             );
         }
     }
+    for (name, job) in LARGE_RECORDS {
+        assert_counted(name, job, 100_000, bytes_per_job(job, 100_000).kept);
+    }
 }
--- a/crates/pulleywood-testkit/src/samples.rs
+++ b/crates/pulleywood-testkit/src/samples.rs
@@ -38,6 +38,7 @@
         shards,
         value_bytes: 8192,
         controller_zones: vec![],
+        job_memory_limit: 50 << 20,
         chunk_tasks: 1024,
         zones: vec!["a".into(), "b".into()],
         teams: BTreeMap::from([("red".to_owned(), team)]),
--- a/crates/pulleywood-testkit/src/store/endpoint.rs
+++ b/crates/pulleywood-testkit/src/store/endpoint.rs
@@ -16,6 +16,11 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+/// Maximum number of keys in a page of a list.
+const MAX_PAGE_ITEMS: usize = 1000;
+/// Maximum bytes of the keys in a page of a list.
+const MAX_PAGE_BYTES: usize = 512 * 1024;
+
 /// A fault of the connection between one controller and the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -150,13 +155,24 @@
 fn list(store: &Keys, parameters: &str) -> Response {
     let prefix = query(parameters, "starts").unwrap_or("");
     let after = query(parameters, "from").unwrap_or("");
-    let items: Vec<Item> = store
+    let limit = query(parameters, "page").and_then(|page| page.parse().ok());
+    let limit = limit.unwrap_or(MAX_PAGE_ITEMS).min(MAX_PAGE_ITEMS);
+    let mut remaining = store
         .keys
         .keys()
         .filter(|key| key.starts_with(prefix) && key.as_str() > after)
         .filter_map(|key| store.item(key))
-        .collect();
-    let (more, store_revision) = (false, store.store_revision);
+        .peekable();
+    let mut items: Vec<Item> = Vec::new();
+    let mut page_bytes = 0;
+    while let Some(item) = remaining.peek() {
+        page_bytes += cbor::encode(item).len();
+        if items.len() == limit || (page_bytes > MAX_PAGE_BYTES && !items.is_empty()) {
+            break;
+        }
+        items.extend(remaining.next());
+    }
+    let (more, store_revision) = (remaining.peek().is_some(), store.store_revision);
     Response::cbor(
         200,
         &Page {
--- a/crates/pulleywood-testkit/src/store/mod.rs
+++ b/crates/pulleywood-testkit/src/store/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! It implements keys, revisions, leases, transactions and watches as the protocol defines
 //! them, and a separate [`Fault`] for each controller. Replication, rate limits and size limits
-//! are not simulated, and a list is always a single page.
+//! are not simulated.
 
 mod endpoint;
 mod keys;
--- a/crates/pulleywood-transport/src/store.rs
+++ b/crates/pulleywood-transport/src/store.rs
@@ -65,6 +65,9 @@
 /// responses take a few hundred milliseconds.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Maximum number of keys in a page of a list.
+const MAX_PAGE_ITEMS: u32 = 1000;
+
 impl StoreClient {
     /// Creates a client of the state service at `addr` that keeps within `budget`.
     pub fn new(addr: SocketAddr, budget: Budget) -> Self {
@@ -184,16 +187,32 @@
         prefix: &str,
     ) -> Result<(Vec<Item>, u64), StoreError> {
         let mut items: Vec<Item> = Vec::new();
+        let store_revision = self.for_each_item(priority, prefix, |item| items.push(item))?;
+        Ok((items, store_revision))
+    }
+
+    /// Like [`StoreClient::list`], but passes each item to `handle` instead of holding all of
+    /// them. Returns the revision of the first page.
+    ///
+    /// # Errors
+    ///
+    /// Like [`StoreClient::list`]. Items of earlier pages have been handled by then.
+    pub fn for_each_item(
+        &self,
+        priority: RequestPriority,
+        prefix: &str,
+        mut handle: impl FnMut(Item),
+    ) -> Result<u64, StoreError> {
+        let mut after: Option<String> = None;
         let mut store_revision = None;
         loop {
             self.take_tokens(priority, 0)?;
-            let after = items.last().map(|i| i.path.as_str());
-            let page = self.fetch_page(prefix, after, 1000)?;
-            store_revision.get_or_insert(page.store_revision);
-            let empty = page.items.is_empty();
-            items.extend(page.items);
-            if !page.more || empty {
-                return Ok((items, store_revision.unwrap_or(0)));
+            let page = self.fetch_page(prefix, after.as_deref(), MAX_PAGE_ITEMS)?;
+            let store_revision = *store_revision.get_or_insert(page.store_revision);
+            after = page.items.last().map(|item| item.path.clone());
+            page.items.into_iter().for_each(&mut handle);
+            if !page.more || after.is_none() {
+                return Ok(store_revision);
             }
         }
     }
