Clear an attempt only once no copy of its launch can be carried out any more

What callers would see: a task on two machines at once, or a cancelled task that starts again, because the response that launched it reaches its machine once more.

Cause: a worker forgets a cleared attempt, and carries a copy of its launch out as a new one. It accepts a response for four seconds after its heartbeat, under the same fencing token and session. A leader cleared an attempt as soon as it had ended (and, if done, was committed), which may be half a second after its launch; its task could run elsewhere by then, or its job be cancelled.

Change: a leader clears an attempt no sooner than four seconds and the margin for clocks after its launch, or after it first saw it. Exited attempts hold no resources meanwhile. Three tests expected a clear within two seconds of the launch; each now checks that there is none for 3.9 s and that it comes after 4.3 s, and the one on two attempts of a task on one machine checks the clear while the second one runs.

--- a/crates/pulleywood-scheduler/src/shard/launch.rs
+++ b/crates/pulleywood-scheduler/src/shard/launch.rs
@@ -2,8 +2,8 @@
 //!
 //! Invariants: a task is launched only in a heartbeat response, on a machine whose
 //! tasks are known, and never while another attempt of it may run; attempts are never
-//! reused; a done task is cleared only after its commit. Direct commands contain no
-//! launches.
+//! reused; a done task is cleared only after its commit, and no attempt while a copy of its
+//! launch may still be carried out. Direct commands contain no launches.
 
 use crate::config::Config;
 use crate::launch_validity::SuspendedJobs;
@@ -39,7 +39,7 @@
         machine.last_response_at = machine.last_response_at.max(Some(now));
         machine.unacknowledged_response = Some(machine.last_message);
         let mut commands =
-            stop_and_clear_commands(&machine.slots, &self.jobs, &self.unreadable_jobs);
+            stop_and_clear_commands(&machine.slots, &self.jobs, &self.unreadable_jobs, now);
         if !machine.accepts_launches() {
             return commands;
         }
@@ -65,10 +65,10 @@
 
     /// Returns the stop and clear commands due on a machine, the only ones that a
     /// direct command may carry.
-    pub fn direct_commands(&self, id: &MachineId) -> Vec<Command> {
+    pub fn direct_commands(&self, id: &MachineId, now: MonotonicTime) -> Vec<Command> {
         self.machines
             .get(id)
-            .map(|m| stop_and_clear_commands(&m.slots, &self.jobs, &self.unreadable_jobs))
+            .map(|m| stop_and_clear_commands(&m.slots, &self.jobs, &self.unreadable_jobs, now))
             .unwrap_or_default()
     }
 }
@@ -157,20 +157,26 @@
     slots: &[Slot],
     jobs: &BTreeMap<JobId, Job>,
     unreadable_jobs: &BTreeSet<JobId>,
+    now: MonotonicTime,
 ) -> Vec<Command> {
     let readable = slots
         .iter()
         .filter(|s| !unreadable_jobs.contains(&s.task.job));
     readable
-        .filter_map(|s| stop_or_clear_command(s, jobs))
+        .filter_map(|s| stop_or_clear_command(s, jobs, now))
         .collect()
 }
 
-fn stop_or_clear_command(slot: &Slot, jobs: &BTreeMap<JobId, Job>) -> Option<Command> {
+fn stop_or_clear_command(
+    slot: &Slot,
+    jobs: &BTreeMap<JobId, Job>,
+    now: MonotonicTime,
+) -> Option<Command> {
     let (task, attempt) = (slot.task.clone(), slot.attempt);
     match (slot.state, slot.stop_grace_s) {
         (SlotState::Exited { done }, _) => {
             let may_be_cleared = !done || has_nothing_to_commit(&task, jobs);
+            let may_be_cleared = may_be_cleared && slot.launch_certainly_expired(now);
             may_be_cleared.then_some(Command::Clear { task, attempt })
         }
         // The attempt is already saving its state; only a stop without a grace period
--- a/crates/pulleywood-scheduler/src/shard/machine.rs
+++ b/crates/pulleywood-scheduler/src/shard/machine.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use crate::resources::ResourceVector;
 use pulleywood_protocol::record::MachineRecord;
+use pulleywood_protocol::time::remote_duration_upper_bound;
 use pulleywood_protocol::{
     Attempt, FencingToken, JobId, JobSpec, MonotonicTime, Rank, Revision, TaskId,
 };
@@ -66,7 +67,16 @@
     pub running_since: Option<MonotonicTime>,
 }
 
+/// Time after which a worker drops the response to a heartbeat that it sent.
+const RESPONSE_VALIDITY: Duration = Duration::from_secs(4);
+
 impl Slot {
+    /// Whether the worker certainly drops every copy of the response that launched the attempt.
+    /// After a clear, the worker would carry out such a copy as a new launch.
+    pub(super) fn launch_certainly_expired(&self, now: MonotonicTime) -> bool {
+        now >= self.created_at + remote_duration_upper_bound(RESPONSE_VALIDITY)
+    }
+
     /// Whether the attempt holds resources of its machine.
     pub fn holds_resources(&self) -> bool {
         !matches!(self.state, SlotState::Exited { .. })
--- a/crates/pulleywood-scheduler/tests/shard/done_batches.rs
+++ b/crates/pulleywood-scheduler/tests/shard/done_batches.rs
@@ -32,7 +32,12 @@
             .heartbeat_and_answer(&heartbeat, 2.0)
             .contains(&clear)
     );
-    assert!(harness.state.direct_commands(&machine(0)).is_empty());
+    assert!(
+        harness
+            .state
+            .direct_commands(&machine(0), at(2.0))
+            .is_empty()
+    );
     let batch = harness.batch(Revision(9), 60.0).unwrap();
     assert!(batch.transaction.is_compare_and_set());
     assert!(
@@ -45,9 +50,16 @@
     );
     harness.state.mark_batch_committed(&batch, Revision(10));
     let heartbeat = both_listed(3, &mut harness);
+    assert!(
+        !harness
+            .heartbeat_and_answer(&heartbeat, 4.9)
+            .contains(&clear),
+        "a copy of the launch of second 1 may arrive for four seconds"
+    );
+    let heartbeat = both_listed(4, &mut harness);
     assert!(
         harness
-            .heartbeat_and_answer(&heartbeat, 3.0)
+            .heartbeat_and_answer(&heartbeat, 5.3)
             .contains(&clear)
     );
     assert!(harness.batch(Revision(9), 60.0).is_none());
--- a/crates/pulleywood-scheduler/tests/shard/launches.rs
+++ b/crates/pulleywood-scheduler/tests/shard/launches.rs
@@ -54,18 +54,31 @@
     let commands = harness.heartbeat_and_answer(&stopped, 2.0);
     let (_, second_attempt) = launches(&commands)[0].clone();
     assert_ne!(first_attempt, second_attempt, "attempts are never reused");
-    assert!(commands.contains(&Command::Clear {
+    let clear = Command::Clear {
         task: task.clone(),
-        attempt: first_attempt
-    }));
-    let cleared = harness.heartbeat(
+        attempt: first_attempt,
+    };
+    assert!(
+        !commands.contains(&clear),
+        "a copy of the first launch may arrive for four seconds"
+    );
+    let both = harness.heartbeat(
         0,
         3,
+        vec![
+            exited(&task, first_attempt, Cause::Stopped),
+            status(&task, second_attempt, TaskState::Running),
+        ],
+    );
+    assert_eq!(harness.heartbeat_and_answer(&both, 5.3), [clear]);
+    let cleared = harness.heartbeat(
+        0,
+        4,
         vec![status(&task, second_attempt, TaskState::Running)],
     );
-    harness.heartbeat_and_answer(&cleared, 3.0);
+    harness.heartbeat_and_answer(&cleared, 6.0);
     let other = harness.heartbeat(1, 1, vec![]);
-    assert!(launches(&harness.heartbeat_and_answer(&other, 4.0)).is_empty());
+    assert!(launches(&harness.heartbeat_and_answer(&other, 7.0)).is_empty());
 }
 
 #[test]
@@ -103,7 +116,7 @@
         leeway_s: 0.0,
     };
     assert_eq!(
-        harness.state.direct_commands(&machine(0)),
+        harness.state.direct_commands(&machine(0), at(1.0)),
         std::slice::from_ref(&stop)
     );
     assert_eq!(
--- a/crates/pulleywood-scheduler/tests/unreadable.rs
+++ b/crates/pulleywood-scheduler/tests/unreadable.rs
@@ -32,11 +32,15 @@
             .iter()
             .any(|command| matches!(command, Command::Stop { task, .. } if *task == running.task))
     );
+    let clears_done =
+        |command: &Command| matches!(command, Command::Clear { task, .. } if *task == done.task);
     assert!(
-        commands
-            .iter()
-            .any(|command| matches!(command, Command::Clear { task, .. } if *task == done.task))
+        !commands.iter().any(clears_done),
+        "it was seen for the first time a second ago, so a copy of its launch may arrive"
     );
+    let heartbeat = harness.heartbeat(0, 3, vec![running.clone(), done.clone()]);
+    let commands = harness.heartbeat_and_answer(&heartbeat, 5.3);
+    assert!(commands.iter().any(clears_done));
 }
 
 #[test]
--- a/crates/pulleywood-testkit/examples/decisions/simulation/workers.rs
+++ b/crates/pulleywood-testkit/examples/decisions/simulation/workers.rs
@@ -43,7 +43,7 @@
             return;
         }
         let commands = if is_direct_reply {
-            state.direct_commands(id)
+            state.direct_commands(id, self.now)
         } else {
             state.response_commands(id, may_launch, self.now, &self.config)
         };
