Give direct commands a type that has no launch

That no direct command launches a task, since one may be carried out minutes late, was checked by a debug assertion only, which release builds don't have. DirectCommand now holds ControlCommands, which stop or clear; a heartbeat response still holds Commands. The bytes are the same: the recorded direct commands decode and encode as before, and rows for the new type's variants are added.

--- a/crates/pulleywood-protocol/src/worker.rs
+++ b/crates/pulleywood-protocol/src/worker.rs
@@ -132,6 +132,51 @@
     },
 }
 
+/// A command that may be sent to a worker directly, without waiting for its heartbeat. It may be
+/// carried out minutes late, so there is none that launches a task.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "snake_case")]
+pub enum ControlCommand {
+    /// Stops a task, like [`Command::Stop`].
+    #[serde(rename = "halt")]
+    Stop {
+        /// Id of the task.
+        #[serde(rename = "leg")]
+        task: TaskId,
+        /// Id of the attempt.
+        #[serde(rename = "try")]
+        attempt: Attempt,
+        /// Time within which the task may save its progress, in seconds.
+        leeway_s: f64,
+    },
+    /// Removes an exited task from the worker, like [`Command::Clear`].
+    Clear {
+        /// Id of the task.
+        #[serde(rename = "leg")]
+        task: TaskId,
+        /// Id of the attempt.
+        #[serde(rename = "try")]
+        attempt: Attempt,
+    },
+}
+
+impl From<ControlCommand> for Command {
+    fn from(command: ControlCommand) -> Command {
+        match command {
+            ControlCommand::Stop {
+                task,
+                attempt,
+                leeway_s,
+            } => Command::Stop {
+                task,
+                attempt,
+                leeway_s,
+            },
+            ControlCommand::Clear { task, attempt } => Command::Clear { task, attempt },
+        }
+    }
+}
+
 /// The response to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeartbeatResponse {
@@ -151,8 +196,7 @@
     pub leader: Option<crate::ids::MemberId>,
 }
 
-/// Commands that are sent to a worker without waiting for its heartbeat. They may be executed
-/// minutes late, so they never include a launch.
+/// Commands that are sent to a worker without waiting for its heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DirectCommand {
     /// The fencing token under which the commands are issued.
@@ -161,7 +205,7 @@
     /// The session of the worker that the commands are meant for.
     #[serde(rename = "shift")]
     pub incarnation: u64,
-    /// Commands to execute: stops and clears only.
+    /// Commands to execute.
     #[serde(rename = "orders")]
-    pub commands: Vec<Command>,
+    pub commands: Vec<ControlCommand>,
 }
--- a/crates/pulleywood-protocol/tests/recorded_formats.rs
+++ b/crates/pulleywood-protocol/tests/recorded_formats.rs
@@ -24,7 +24,8 @@
     TransactionConflict, Write,
 };
 use pulleywood_protocol::worker::{
-    Cause, Command, DirectCommand, Heartbeat, HeartbeatResponse, Redirect, TaskState, TaskStatus,
+    Cause, Command, ControlCommand, DirectCommand, Heartbeat, HeartbeatResponse, Redirect,
+    TaskState, TaskStatus,
 };
 use pulleywood_protocol::{
     Attempt, FencingToken, JobId, JobSpec, JobStatus, LeaseId, MachineId, MemberId, MonotonicTime,
@@ -92,6 +93,7 @@
     "worker/heartbeat_response" message HeartbeatResponse,
     "worker/redirect" message Redirect,
     "worker/direct_command" message DirectCommand,
+    "worker/control_command" message ControlCommand,
     "cloud/machine_type" message Flavor,
     "cloud/machine_types" message Flavors,
     "cloud/rental_request" message RentalRequest,
--- a/crates/pulleywood-scheduler/src/shard/launch.rs
+++ b/crates/pulleywood-scheduler/src/shard/launch.rs
@@ -11,7 +11,7 @@
 use crate::shard::machine::{Machine, Slot, SlotState};
 use crate::shard::{Job, ShardState};
 use pulleywood_protocol::job::Shape;
-use pulleywood_protocol::worker::Command;
+use pulleywood_protocol::worker::{Command, ControlCommand};
 use pulleywood_protocol::{Attempt, FencingToken, JobId, MachineId, MonotonicTime, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -38,8 +38,11 @@
         };
         machine.last_response_at = machine.last_response_at.max(Some(now));
         machine.unacknowledged_response = Some(machine.last_message);
-        let mut commands =
-            stop_and_clear_commands(&machine.slots, &self.jobs, &self.unreadable_jobs, now);
+        let mut commands: Vec<Command> =
+            stop_and_clear_commands(&machine.slots, &self.jobs, &self.unreadable_jobs, now)
+                .into_iter()
+                .map(Command::from)
+                .collect();
         if !machine.accepts_launches() {
             return commands;
         }
@@ -65,7 +68,7 @@
 
     /// Returns the stop and clear commands due on a machine, the only ones that a
     /// direct command may carry.
-    pub fn direct_commands(&self, id: &MachineId, now: MonotonicTime) -> Vec<Command> {
+    pub fn direct_commands(&self, id: &MachineId, now: MonotonicTime) -> Vec<ControlCommand> {
         self.machines
             .get(id)
             .map(|m| stop_and_clear_commands(&m.slots, &self.jobs, &self.unreadable_jobs, now))
@@ -158,7 +161,7 @@
     jobs: &BTreeMap<JobId, Job>,
     unreadable_jobs: &BTreeSet<JobId>,
     now: MonotonicTime,
-) -> Vec<Command> {
+) -> Vec<ControlCommand> {
     let readable = slots
         .iter()
         .filter(|s| !unreadable_jobs.contains(&s.task.job));
@@ -171,18 +174,18 @@
     slot: &Slot,
     jobs: &BTreeMap<JobId, Job>,
     now: MonotonicTime,
-) -> Option<Command> {
+) -> Option<ControlCommand> {
     let (task, attempt) = (slot.task.clone(), slot.attempt);
     match (slot.state, slot.stop_grace_s) {
         (SlotState::Exited { done }, _) => {
             let may_be_cleared = !done || has_nothing_to_commit(&task, jobs);
             let may_be_cleared = may_be_cleared && slot.launch_certainly_expired(now);
-            may_be_cleared.then_some(Command::Clear { task, attempt })
+            may_be_cleared.then_some(ControlCommand::Clear { task, attempt })
         }
         // The attempt is already saving its state; only a stop without a grace period
         // changes anything.
         (SlotState::Saving, Some(grace_s)) if grace_s > 0.0 => None,
-        (_, Some(grace_s)) => Some(Command::Stop {
+        (_, Some(grace_s)) => Some(ControlCommand::Stop {
             task,
             attempt,
             leeway_s: grace_s,
--- a/crates/pulleywood-scheduler/tests/late_copies.rs
+++ b/crates/pulleywood-scheduler/tests/late_copies.rs
@@ -394,7 +394,8 @@
                     && command.incarnation == worker.incarnation
                 {
                     worker.fencing_token = command.fencing_token;
-                    self.execute(machine, command.commands, now_ms);
+                    let commands = command.commands.into_iter().map(Command::from);
+                    self.execute(machine, commands.collect(), now_ms);
                 }
             }
             _ => {}
--- a/crates/pulleywood-scheduler/tests/shard/launches.rs
+++ b/crates/pulleywood-scheduler/tests/shard/launches.rs
@@ -2,7 +2,7 @@
 //! teams.
 
 use crate::common::*;
-use pulleywood_protocol::worker::{Cause, Command, TaskState};
+use pulleywood_protocol::worker::{Cause, Command, ControlCommand, TaskState};
 use pulleywood_protocol::{Revision, Shape};
 
 #[test]
@@ -110,7 +110,7 @@
     let first = harness.heartbeat(0, 1, vec![]);
     let (task, attempt) = launches(&harness.heartbeat_and_answer(&first, 1.0))[0].clone();
     harness.state.remove_job(&task.job);
-    let stop = Command::Stop {
+    let stop = ControlCommand::Stop {
         task: task.clone(),
         attempt,
         leeway_s: 0.0,
@@ -124,7 +124,10 @@
         slots(4.0, 1.0)
     );
     let running = harness.heartbeat(0, 2, vec![status(&task, attempt, TaskState::Running)]);
-    assert_eq!(harness.heartbeat_and_answer(&running, 2.0), [stop]);
+    assert_eq!(
+        harness.heartbeat_and_answer(&running, 2.0),
+        [Command::from(stop)]
+    );
     let omitting = harness.heartbeat(0, 3, vec![]);
     harness.heartbeat_and_answer(&omitting, 3.0);
     assert!(
--- a/crates/pulleywood-testkit/examples/decisions/simulation/workers.rs
+++ b/crates/pulleywood-testkit/examples/decisions/simulation/workers.rs
@@ -43,7 +43,8 @@
             return;
         }
         let commands = if is_direct_reply {
-            state.direct_commands(id, self.now)
+            let commands = state.direct_commands(id, self.now).into_iter();
+            commands.map(Command::from).collect()
         } else {
             state.response_commands(id, may_launch, self.now, &self.config)
         };
--- a/crates/pulleywood-testkit/src/worker.rs
+++ b/crates/pulleywood-testkit/src/worker.rs
@@ -369,7 +369,9 @@
                     && direct.incarnation == state.incarnation;
                 if accepted {
                     state.fencing_token = direct.fencing_token;
-                    worker.execute(&mut state, &direct.commands, Instant::now());
+                    let commands = direct.commands.into_iter().map(Command::from);
+                    let commands: Vec<Command> = commands.collect();
+                    worker.execute(&mut state, &commands, Instant::now());
                 }
                 drop(state);
                 let status = if accepted { 200 } else { 409 };
--- a/crates/pulleywood-transport/src/cloud.rs
+++ b/crates/pulleywood-transport/src/cloud.rs
@@ -7,7 +7,7 @@
     Flavor, Flavors, MachineNames, Rental, RentalPage, RentalRequest,
 };
 use pulleywood_protocol::ids::MachineId;
-use pulleywood_protocol::worker::{Command, DirectCommand, Heartbeat};
+use pulleywood_protocol::worker::{DirectCommand, Heartbeat};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -238,14 +238,6 @@
     command: &DirectCommand,
     timeout: Duration,
 ) -> Result<(bool, Heartbeat), ClientError> {
-    // Direct commands may be executed minutes late. A launch among them could start a task long
-    // after it was started on another machine.
-    debug_assert!(
-        command
-            .commands
-            .iter()
-            .all(|c| !matches!(c, Command::Launch { .. }))
-    );
     let client = Client::new(addr, 0);
     let response = client.call("POST", "/do", Some(&cbor::encode(command)), timeout)?;
     match response.status {
