Read no more changes at once than a small controller has memory for

Cause, found by reading: a controller read up to 16 MiB of changes in one response to a watch, whatever its memory, and held them once more as a copy and several times as large when decoded.

Change: a response to a watch may have a thirty-second part of the memory, at least 1 MiB; beyond it the live keys are read in pages instead, as beyond 16 MiB before.

--- a/crates/pulleywood-controller/src/controller.rs
+++ b/crates/pulleywood-controller/src/controller.rs
@@ -25,6 +25,12 @@
 const RATE_SHARE: f64 = 0.95;
 /// Share of the cloud's rate that all controllers use to read machine types.
 const MACHINE_TYPES_SHARE: f64 = 0.1;
+/// Share of a controller's memory that the encoded changes in one response to a watch may take.
+/// Decoded, they take several times as much.
+const CHANGES_MEMORY_SHARE: f64 = 1.0 / 32.0;
+/// Lower bound of the bytes that one response to a watch may have: many times the largest
+/// transaction.
+const MIN_CHANGES_BYTES: usize = 1 << 20;
 /// A controller warns if it has fewer connection threads than this, since it can then serve
 /// only a small number of machines.
 const MIN_CONNECTION_THREADS: usize = 64;
@@ -185,10 +191,10 @@
 fn store_client(settings: &Settings, share: f64) -> Result<StoreClient, StartError> {
     let rates = &settings.cluster.state;
     let budget = Budget::new(rates.rps * share, rates.write_rps * share, 1.0);
-    Ok(StoreClient::new(
-        parse_address(&settings.services.state)?,
-        budget,
-    ))
+    let store = StoreClient::new(parse_address(&settings.services.state)?, budget);
+    let ram_bytes = settings.cluster.resources.ram_mb * 1024.0 * 1024.0;
+    let max_changes = (ram_bytes * CHANGES_MEMORY_SHARE) as usize;
+    Ok(store.with_max_changes(max_changes.max(MIN_CHANGES_BYTES)))
 }
 
 /// Creates the cloud client. Every controller reads the machine types, so each gets a part of
--- a/crates/pulleywood-transport/src/client.rs
+++ b/crates/pulleywood-transport/src/client.rs
@@ -39,6 +39,8 @@
     idle: Mutex<Vec<Connection>>,
     /// Maximum number of idle connections that are kept open.
     max_idle: usize,
+    /// Maximum size of a response in bytes, headers included.
+    max_response: usize,
 }
 
 impl std::fmt::Debug for Client {
@@ -47,7 +49,7 @@
     }
 }
 
-/// Maximum size of a response in bytes, headers included.
+/// Maximum size of a response in bytes that any client reads, headers included.
 const MAX_RESPONSE: usize = 16 << 20;
 /// A read buffer with more capacity than this, in bytes, is freed after its response.
 const MAX_RETAINED_BUFFER: usize = 65_536;
@@ -87,9 +89,17 @@
             addr,
             idle: Mutex::new(Vec::new()),
             max_idle,
+            max_response: MAX_RESPONSE,
         }
     }
 
+    /// Reads no response of more than this many bytes, headers included.
+    #[must_use]
+    pub fn with_max_response(mut self, bytes: usize) -> Self {
+        self.max_response = bytes.min(MAX_RESPONSE);
+        self
+    }
+
     /// Sends one request and waits up to `timeout` for the response. The request is not
     /// retried.
     ///
@@ -110,8 +120,8 @@
             None => self.connect(deadline).map_err(ClientError::NotSent)?,
         };
         let request = self.encode(method, path, body);
-        let (response, close) =
-            exchange(&mut connection, &request, deadline).map_err(ClientError::OutcomeUnknown)?;
+        let (response, close) = exchange(&mut connection, &request, deadline, self.max_response)
+            .map_err(ClientError::OutcomeUnknown)?;
         if !close {
             self.keep_idle(connection);
         }
@@ -184,6 +194,7 @@
     connection: &mut Connection,
     request: &[u8],
     deadline: Instant,
+    max_response: usize,
 ) -> std::io::Result<(Response, bool)> {
     connection
         .stream
@@ -209,7 +220,7 @@
             Err(e) => return Err(e),
         };
         connection.buffer.extend_from_slice(&chunk[..count]);
-        if connection.buffer.len() > MAX_RESPONSE {
+        if connection.buffer.len() > max_response {
             return Err(ErrorKind::FileTooLarge.into());
         }
         if head.is_none() {
--- a/crates/pulleywood-transport/src/store.rs
+++ b/crates/pulleywood-transport/src/store.rs
@@ -81,6 +81,14 @@
         }
     }
 
+    /// Reads no more than this many bytes of changes in one response to a watch. If there are
+    /// more, [`StoreClient::watch`] returns [`StoreError::RevisionTooOld`].
+    #[must_use]
+    pub fn with_max_changes(mut self, bytes: usize) -> Self {
+        self.watch_client = self.watch_client.with_max_response(bytes);
+        self
+    }
+
     /// Budget of this controller for requests to the state service.
     pub fn budget(&self) -> &Budget {
         &self.budget
