Count a submission twice, as a job from a job batch is also cached there

A job that was accepted in a job batch is held by its shard's leader and, in the batch, by every controller until it leaves the batch, so a large record took up to twice the bytes it counted. Found by reading; the tests on admission and on counted bytes hold.

--- a/crates/pulleywood-scheduler/src/admission.rs
+++ b/crates/pulleywood-scheduler/src/admission.rs
@@ -19,6 +19,9 @@
 const JOB_BYTES: u64 = 3 * 1024;
 /// Bytes that a string takes besides its text: its header and the rounding of its allocation.
 const STRING_BYTES: u64 = 56;
+/// Number of copies of a submission: at its shard's leader, and in the cached job batch that it was
+/// accepted in.
+const SPEC_COPIES: u64 = 2;
 /// Number of copies of a transfer's text that its job takes: as it is stored, and as sets of
 /// tasks.
 const TRANSFER_COPIES: u64 = 4;
@@ -36,7 +39,7 @@
 
 /// Bytes that a job takes once it is accepted.
 pub fn submission_bytes(spec: &JobSpec) -> u64 {
-    JOB_BYTES + spec_bytes(spec)
+    JOB_BYTES + spec_bytes(spec) * SPEC_COPIES
 }
 
 /// Bytes that a live job takes, by its record.
