--- a/crates/pulleywood-controller/tests/job_memory.rs
+++ b/crates/pulleywood-controller/tests/job_memory.rs
@@ -4,6 +4,7 @@
 
 use cluster::{ClusterOptions, TestCluster, job, service};
 use pulleywood_protocol::{JobId, JobSpec, Rank, cbor};
+use pulleywood_scheduler::admission::{job_memory_limit, submission_bytes};
 use std::time::Duration;
 
 /// Memory of each controller, in MB: that of the smallest deployment.
@@ -12,6 +13,11 @@
 const MAX_TASKS: u32 = 100_000;
 /// Jobs of one shape that are submitted without a pause before the next shape's turn.
 const JOBS_PER_TURN: u64 = 40;
+/// Refusals in a row, a pause apart, that show that a shape is refused for good: the store or a
+/// concurrent job batch may refuse a submission for a moment.
+const FINAL_REFUSALS: u32 = 5;
+/// Pause after a refusal.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
 /// A job id that is submitted to no round.
 const OTHER_TEAMS_JOB: u64 = 999_999;
 
@@ -47,6 +53,8 @@
     cluster: TestCluster,
     next_number: u64,
     accepted: Vec<JobId>,
+    /// Bytes of memory that the accepted jobs count.
+    accepted_bytes: u64,
 }
 
 impl Flood {
@@ -62,6 +70,7 @@
             cluster,
             next_number: 1,
             accepted: Vec::new(),
+            accepted_bytes: 0,
         }
     }
 
@@ -85,8 +94,9 @@
         }
     }
 
-    /// Submits some jobs of one shape. Returns whether all were accepted.
+    /// Submits some jobs of one shape. Returns whether the shape is still accepted.
     fn take_turn(&mut self, shape: JobShape, target: Target) -> bool {
+        let mut refusals = 0;
         for _ in 0..JOBS_PER_TURN {
             let spec = shape(self.next_number);
             let controller = match target {
@@ -95,12 +105,22 @@
             };
             self.next_number += 1;
             match self.submit(controller, &spec) {
-                200 | 201 => self.accepted.push(spec.id),
+                200 | 201 => {
+                    self.accepted_bytes += submission_bytes(&spec);
+                    self.accepted.push(spec.id);
+                    refusals = 0;
+                }
                 // Short of write tokens: not accepted, and no sign of a limit.
                 429 => {}
-                503 => return false,
+                503 => {
+                    refusals += 1;
+                    std::thread::sleep(REFUSAL_PAUSE);
+                }
                 status => panic!("submission of {} was answered with {status}", spec.id),
             }
+            if refusals == FINAL_REFUSALS {
+                return false;
+            }
         }
         true
     }
@@ -149,6 +169,11 @@
             flood.accepted.len(),
             flood.largest_mb()
         );
+        let (counted, limit) = (flood.accepted_bytes, job_memory_limit(RAM_MB));
+        assert!(
+            counted > limit / 2,
+            "refused at {counted} bytes, but the limit is {limit}"
+        );
         flood.restart_all();
         flood.assert_known();
         flood.assert_memory();
