Plan without copying a job's waiting tasks; split what has grown

- WaitingTasks copied the set of waiting tasks for each job and plan, and computed sets of bound tasks also for jobs without any.
It now reads the job's own set until tasks bound to a zone were passed over.

--- a/crates/pulleywood-controller/tests/job_memory.rs
+++ b/crates/pulleywood-controller/tests/job_memory.rs
@@ -4,15 +4,16 @@
 
 use cluster::{ClusterOptions, TestCluster, job, service};
 use pulleywood_protocol::{JobId, JobSpec, Rank, cbor};
-use pulleywood_scheduler::admission::{job_memory_limit, submission_bytes};
+use pulleywood_scheduler::admission::submission_bytes;
+use pulleywood_scheduler::config::job_memory_limit;
 use std::time::Duration;
 
 /// Memory of each controller, in MB: that of the smallest deployment.
 const RAM_MB: f64 = 56.0;
 /// Most tasks of a job.
 const MAX_TASKS: u32 = 100_000;
-/// Jobs of one shape that are submitted without a pause before the next shape's turn.
-const JOBS_PER_TURN: u64 = 40;
+/// Jobs of one shape that are submitted without a pause before jobs of the next shape.
+const JOBS_PER_ROUND: u64 = 40;
 /// Refusals in a row, a pause apart, that show that a shape is refused for good: the store or a
 /// concurrent job batch may refuse a submission for a moment.
 const FINAL_REFUSALS: u32 = 5;
@@ -85,19 +86,19 @@
         call.0
     }
 
-    /// Submits jobs of all shapes in turn until each shape is refused.
+    /// Submits jobs of all shapes, some of each at a time, until each shape is refused.
     fn fill(&mut self, target: Target) {
         let mut open_shapes = SHAPES.to_vec();
         while !open_shapes.is_empty() {
-            open_shapes.retain(|shape| self.take_turn(*shape, target));
+            open_shapes.retain(|shape| self.submit_some(*shape, target));
             self.assert_memory();
         }
     }
 
     /// Submits some jobs of one shape. Returns whether the shape is still accepted.
-    fn take_turn(&mut self, shape: JobShape, target: Target) -> bool {
+    fn submit_some(&mut self, shape: JobShape, target: Target) -> bool {
         let mut refusals = 0;
-        for _ in 0..JOBS_PER_TURN {
+        for _ in 0..JOBS_PER_ROUND {
             let spec = shape(self.next_number);
             let controller = match target {
                 Target::One => 0,
--- a/crates/pulleywood-scheduler/src/admission.rs
+++ b/crates/pulleywood-scheduler/src/admission.rs
@@ -25,18 +25,10 @@
 /// Number of copies of a transfer's text that its job takes: as it is stored, and as sets of
 /// tasks.
 const TRANSFER_COPIES: u64 = 4;
-/// Share of a controller's memory that live jobs may take. Reading all of them again takes as
-/// much once more for a time.
-const MEMORY_SHARE: f64 = 0.25;
 /// One submission takes at most this part of what is left. As memory fills up, large records are
 /// refused first.
 const MIN_SUBMISSIONS_LEFT: u64 = 16;
 
-/// Bytes of memory that live jobs may take, for a controller with this many MB.
-pub fn job_memory_limit(ram_mb: f64) -> u64 {
-    (ram_mb * 1024.0 * 1024.0 * MEMORY_SHARE) as u64
-}
-
 /// Bytes that a job takes once it is accepted.
 pub fn submission_bytes(spec: &JobSpec) -> u64 {
     JOB_BYTES + spec_bytes(spec) * SPEC_COPIES
--- a/crates/pulleywood-scheduler/src/config.rs
+++ b/crates/pulleywood-scheduler/src/config.rs
@@ -1,6 +1,5 @@
 //! Configuration of the scheduler: the platform's settings and the operators' policy.
 
-use crate::admission::job_memory_limit;
 use crate::resources::{ResourceVector, within_limit};
 use pulleywood_protocol::cbor::Amount;
 use pulleywood_protocol::cloud::Flavor;
@@ -28,6 +27,10 @@
 const MAX_COMMIT_DELAY_LEASES: u32 = 2;
 /// Allowance for the transmission of a heartbeat response.
 const RESPONSE_MARGIN: Duration = Duration::from_secs(1);
+/// Share of a controller's memory that live jobs may take. Reading all of them again takes as
+/// much once more for a time.
+const JOB_MEMORY_SHARE: f64 = 0.25;
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 /// The `kind` of an objective on when a job finishes; all others are on when it starts.
 const FINISHED_OBJECTIVE_KIND: &str = "finished";
 
@@ -140,6 +143,11 @@
     pub policy: Policy,
 }
 
+/// Bytes of memory that live jobs may take, for a controller with this many MB.
+pub fn job_memory_limit(ram_mb: f64) -> u64 {
+    (ram_mb * BYTES_PER_MB * JOB_MEMORY_SHARE) as u64
+}
+
 /// Zones of the controllers in the order of their names. Empty if all zones are equal
 /// or one of them is not a zone of machines.
 fn controller_zones(settings: &Settings) -> Vec<String> {
--- a/crates/pulleywood-scheduler/src/placement/waiting_tasks.rs
+++ b/crates/pulleywood-scheduler/src/placement/waiting_tasks.rs
@@ -10,45 +10,41 @@
 /// Waiting tasks of a job that a cycle has not planned or passed over yet.
 pub(super) struct WaitingTasks<'a> {
     job: &'a Job,
-    /// Tasks that are still to be placed, and those before `next`.
-    remaining: TaskSet,
-    /// Tasks that were passed over because no machine had room for them.
-    passed_over: TaskSet,
+    /// Tasks that the cycle has planned already.
+    planned: &'a BTreeSet<u32>,
+    /// The waiting tasks without those that were passed over; `None` if none was.
+    remaining: Option<TaskSet>,
     /// Smallest index of the next task.
     next: u32,
 }
 
 impl<'a> WaitingTasks<'a> {
     /// The waiting tasks of a job except those that are planned already.
-    pub(super) fn new(job: &'a Job, planned: &BTreeSet<u32>) -> WaitingTasks<'a> {
-        let mut remaining = job.waiting.clone();
-        for index in planned {
-            remaining.remove(*index);
-        }
+    pub(super) fn new(job: &'a Job, planned: &'a BTreeSet<u32>) -> WaitingTasks<'a> {
         WaitingTasks {
             job,
-            remaining,
-            passed_over: TaskSet::new(),
+            planned,
+            remaining: None,
             next: 0,
         }
     }
 
     /// Passes over all tasks that may run in the same zones as this one.
     pub(super) fn pass_over_bound_like(&mut self, index: u32) {
-        let before = self.remaining.clone();
         let bindings = &self.job.zone_bindings;
-        bindings.remove_bound_like(index, &mut self.remaining);
-        self.passed_over
-            .insert_all(&before.difference(&self.remaining));
+        if bindings.is_empty() {
+            self.remaining = Some(TaskSet::new());
+            return;
+        }
+        let waiting = &self.job.waiting;
+        let remaining = self.remaining.get_or_insert_with(|| waiting.clone());
+        bindings.remove_bound_like(index, remaining);
     }
 
     /// Returns to the tasks that were passed over and follow the last one, because machines
     /// may have room for them now.
     pub(super) fn reconsider(&mut self) {
-        if !self.passed_over.is_empty() {
-            self.remaining
-                .insert_all(&std::mem::take(&mut self.passed_over));
-        }
+        self.remaining = None;
     }
 }
 
@@ -56,8 +52,13 @@
     type Item = u32;
 
     fn next(&mut self) -> Option<u32> {
-        let index = self.remaining.first_from(self.next)?;
-        self.next = index + 1;
-        Some(index)
+        let tasks = self.remaining.as_ref().unwrap_or(&self.job.waiting);
+        loop {
+            let index = tasks.first_from(self.next)?;
+            self.next = index + 1;
+            if !self.planned.contains(&index) {
+                return Some(index);
+            }
+        }
     }
 }
--- a/crates/pulleywood-scheduler/tests/admission.rs
+++ b/crates/pulleywood-scheduler/tests/admission.rs
@@ -5,7 +5,8 @@
 use common::{config, spec};
 use pulleywood_protocol::JobSpec;
 use pulleywood_scheduler::Config;
-use pulleywood_scheduler::admission::{JobMemory, job_memory_limit, submission_bytes};
+use pulleywood_scheduler::admission::{JobMemory, submission_bytes};
+use pulleywood_scheduler::config::job_memory_limit;
 
 /// Memory of the smallest controller, in MB.
 const SMALL_RAM_MB: f64 = 56.0;
--- a/crates/pulleywood-scheduler/tests/job_memory.rs
+++ b/crates/pulleywood-scheduler/tests/job_memory.rs
@@ -114,7 +114,7 @@
     let counted = job_bytes(&job(1, tasks));
     assert!(
         counted >= kept as u64,
-        "{name}: {counted} bytes are counted, {kept} taken"
+        "{name}: {counted} bytes are counted, {kept} allocated"
     );
 }
 
@@ -128,7 +128,7 @@
 /// Guards against controllers that are ended for memory: 20 spread jobs of 100,000 tasks took
 /// 79 MB at the controller of the second zone, which had 56 MB.
 #[test]
-fn memory_of_a_job_does_not_follow_its_number_of_tasks() {
+fn memory_of_a_job_does_not_grow_with_its_number_of_tasks() {
     for (name, job) in CASES {
         let small = bytes_per_job(job, 1000);
         let large = bytes_per_job(job, 100_000);
--- a/crates/pulleywood-scheduler/tests/late_copies.rs
+++ b/crates/pulleywood-scheduler/tests/late_copies.rs
@@ -1,7 +1,7 @@
 //! Late copies of messages between a leader and its workers, swept over their moments in virtual
 //! time. A copy is repeated byte for byte, within what the protocol allows: a worker executes a
 //! response up to four seconds after the heartbeat that it answers, and a direct command at any
-//! time, if the fencing token and the session still match; a heartbeat may arrive again at any
+//! time, if the fencing token and the incarnation still match; a heartbeat may arrive again at any
 //! time.
 
 mod common;
