Count a job's transfers also at the controller that makes them

Cause: a controller took its own write of a known job's record into the count of live jobs' memory only if the job was new to it, and skips the watch's copy of that write, so the transfers it made counted at the others alone. The record of an own write now replaces the known one.

--- a/crates/pulleywood-controller/src/state/live_jobs.rs
+++ b/crates/pulleywood-controller/src/state/live_jobs.rs
@@ -51,6 +51,12 @@
         self.jobs.insert(record.spec.id.clone(), job);
     }
 
+    /// Adds a job, or replaces its record. The number of done tasks stays as it is known.
+    pub fn put_written(&mut self, record: &JobRecord) {
+        let done = self.done(&record.spec.id).unwrap_or(0);
+        self.put(record, done);
+    }
+
     /// Adds a job unless it is known already. No task of it is recorded as done.
     pub fn put_new(&mut self, record: &JobRecord) {
         if !self.contains(&record.spec.id) {
--- a/crates/pulleywood-controller/src/state/own_writes.rs
+++ b/crates/pulleywood-controller/src/state/own_writes.rs
@@ -114,7 +114,7 @@
         let config = Arc::clone(&self.config);
         let id = &record.spec.id;
         self.own_writes.insert(id.clone(), revision);
-        self.cached.live_jobs.put_new(record);
+        self.cached.live_jobs.put_written(record);
         self.cached.jobs_with_own_record.insert(id.clone());
         for led in self.led_shards.values_mut().filter(|led| led.loaded) {
             led.state.put_job(record, revision, false, now, &config);
--- a/crates/pulleywood-controller/src/state/tests.rs
+++ b/crates/pulleywood-controller/src/state/tests.rs
@@ -351,6 +351,32 @@
     }
 }
 
+#[test]
+fn live_jobs_count_the_same_memory_whether_written_here_or_watched() {
+    // Guards against controllers that accept different numbers of jobs: a transfer counted only
+    // at the controllers that had not made it.
+    let job = job_record(1);
+    let id = job.spec.id.clone();
+    let mut transferred = job.clone();
+    transferred.transfer_tasks(ShardId(1), Some("b"), &TaskSet::full(1));
+    let key = pulleywood_protocol::record::job_key(id.shard(2), &id);
+    let (mut writer, mut watcher) = (controller(), controller());
+    let mut totals = Vec::new();
+    for (record, revision) in [(&job, 50), (&transferred, 55)] {
+        writer.put_job(record, Revision(revision), at(11));
+        watcher.apply_event(event(true, &key, record, revision), at(11));
+        let [written, watched] = [&writer, &watcher].map(|c| c.cached.live_jobs.memory().total());
+        assert_eq!(written, watched, "revision {revision}");
+        totals.push(written);
+    }
+    assert!(totals[0] < totals[1], "{totals:?}");
+    writer.remove_ended_job(&id, Revision(60));
+    watcher.apply_event(event(false, &key, 0, 60), at(12));
+    for controller in [&writer, &watcher] {
+        assert_eq!(controller.cached.live_jobs.memory().total(), 0);
+    }
+}
+
 #[test]
 fn a_shard_is_removed_when_its_leadership_key_changes_after_acquisition() {
     // The shard was acquired at revision 40. (revision of the change, whether it stays led)
